--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -100,8 +100,15 @@
   double handshake_price = 0;   // of a new connection for each request
   Duration keepalive{};         // idle connections close after this; zero: not told
   Duration tick{};              // least time between batches
+  Duration dial_timeout{};      // a connection not up by then could not be made; zero: not told
+  std::vector<std::string> zones, kinds;  // by index, as entries of the list number them
 };
 
+// Sets the field that a path such as "classes.0.deadline" names, in the units of the simulator's first
+// message; the router's configuration uses the same. Paths not known are passed over. Throws
+// std::invalid_argument, naming the path, where the text is no value for it.
+void SetByPath(Settings& settings, std::string_view path, std::string_view text);
+
 // Throws std::invalid_argument, naming the field, where the settings cannot be worked with.
 void CheckSettings(const Settings& settings);
 
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::uint64_t kMaxList = 15;           // list numbers run from 0 to this
-constexpr std::size_t kMaxItems = 10000;         // classes or tenants an INIT may count out
 constexpr std::uint64_t kMaxToken = 1ULL << 63;  // tokens run from 0 to this
 
 template <typename T>
@@ -40,97 +39,6 @@
   out.append(buffer, end);
 }
 
-template <typename T>
-T Setting(std::string_view path, std::string_view text) {
-  T value{};
-  if (!ParseNumber(text, value)) {
-    throw std::invalid_argument(std::string(path) + ": a number expected, found '" + std::string(text) + "'");
-  }
-  return value;
-}
-double Real(std::string_view path, std::string_view text) { return Setting<double>(path, text); }
-Duration Time(std::string_view path, std::string_view text) {
-  return Duration(Setting<std::int64_t>(path, text));
-}
-bool Yes(std::string_view path, std::string_view text) {
-  if (text == "true" || text == "1") return true;
-  if (text == "false" || text == "0") return false;
-  throw std::invalid_argument(std::string(path) + ": true or false expected, found '" + std::string(text) +
-                              "'");
-}
-
-// The item that `rest` ("3.name") indexes; leaves the item's field in `rest`. Null for "count".
-template <typename T>
-T* Item(std::vector<T>& items, std::string_view path, std::string_view& rest, std::string_view value) {
-  std::string_view index = Cut(rest, '.');
-  std::size_t number = Setting<std::size_t>(path, index == "count" ? value : index);
-  if (number >= kMaxItems) throw std::invalid_argument(std::string(path) + ": too many");
-  if (index == "count") {
-    items.resize(number);
-    return nullptr;
-  }
-  if (number >= items.size()) items.resize(number + 1);
-  return &items[number];
-}
-
-void SetClass(ClassSettings& cls, std::string_view field, std::string_view path, std::string_view text) {
-  if (field == "name") cls.name = text;
-  if (field == "objective") cls.aim = Time(path, text);
-  if (field == "deadline") cls.deadline = Time(path, text);
-  if (field == "window") cls.window = Time(path, text);
-  if (field == "value") cls.worth = Real(path, text);
-  if (field == "lateShare") cls.late_share = Real(path, text);
-  if (field == "stream") cls.stream = Yes(path, text);
-  if (field == "effect") {
-    if (text == "read_like") {
-      cls.effect = Effect::kSafe;
-    } else if (text == "idempotency_key") {
-      cls.effect = Effect::kKeyed;
-    } else {
-      cls.effect = Effect::kUnsafe;  // what is not known is not repeated
-    }
-  }
-  if (field == "group") {
-    cls.group = text == "all" ? Group::kAll : text == "zone" ? Group::kZone : Group::kCell;
-  }
-}
-
-void SetTenant(TenantSettings& tenant, std::string_view field, std::string_view path, std::string_view text) {
-  if (field == "name") tenant.name = text;
-  if (field == "share") tenant.share = Real(path, text);
-  if (field == "allowancePerS") tenant.allowance_per_s = Real(path, text);
-}
-
-void SetOther(Settings& s, std::string_view path, std::string_view text) {
-  if (path == "discovery") s.must_subscribe = text == "subscribe";
-  if (path == "specifics.mode") s.aside = text == "aside";
-  if (path == "specifics.originKind") s.origin_kind = Setting<int>(path, text);
-  if (path == "replicasOfMe") s.proxies = Setting<int>(path, text);
-  if (path == "locality") s.zone = Setting<int>(path, text);
-  if (path == "overShareWorth") s.over_share_worth = Real(path, text);
-  if (path == "countedBy") s.worth_by_work = text == "work";
-  if (path == "ceilings.tryLimit") s.try_limit = Setting<int>(path, text);
-  if (path == "ceilings.peers") s.peers = Yes(path, text);
-  if (path == "ceilings.mayCancel") s.may_cancel = Yes(path, text);
-  if (path == "ceilings.secondCopies") s.second_copies = Yes(path, text);
-  if (path == "ceilings.retryAfter") s.retry_after = Yes(path, text);
-  if (path == "ceilings.maxRetryAfter") s.max_retry_after = Time(path, text);
-  if (path == "rules.graceToAnswer") s.answer_grace = Time(path, text);
-  if (path == "rules.askEvery") s.ask_every = Time(path, text);
-  if (path == "rules.startCapacity") s.start_capacity = Real(path, text);
-  if (path == "rules.warmAfter") s.warm_after = Time(path, text);
-  if (path == "rules.drainGrace") s.drain_grace = Time(path, text);
-  if (path == "rules.fallMultiple") s.fall_multiple = Real(path, text);
-  if (path == "rules.tipAfter") s.tip_after = Time(path, text);
-  if (path == "rules.countedOver") s.attempt_window = Time(path, text);
-  if (path == "rules.freeResends") s.free_resends = Real(path, text);
-  if (path == "rules.extraPerRequest") s.extra_per_request = Real(path, text);
-  if (path == "tariffs.connection") s.connection_price = Real(path, text);
-  if (path == "tariffs.handshake") s.handshake_price = Real(path, text);
-  if (path == "ceilings.keepalive") s.keepalive = Time(path, text);
-  if (path == "tick") s.tick = Time(path, text);
-}
-
 constexpr std::pair<std::string_view, Result> kResults[] = {
     {"GOOD", Result::kGood},     {"MISS", Result::kMiss},     {"LATE", Result::kLate},
     {"FULL", Result::kFull},     {"NOCONN", Result::kNoConn}, {"RST", Result::kReset},
@@ -161,17 +69,7 @@
   while (!pairs.empty()) {
     std::string_view value = Cut(pairs, ' ');
     std::string_view path = Cut(value, '=');
-    if (path.starts_with("classes.")) {
-      std::string_view rest = path.substr(8);
-      if (auto* cls = Item(settings.classes, path, rest, value)) SetClass(*cls, rest, path, value);
-    } else if (path.starts_with("tenants.")) {
-      std::string_view rest = path.substr(8);
-      if (auto* item = Item(settings.tenants, path, rest, value)) {
-        SetTenant(*item, rest, path, value);
-      }
-    } else {
-      SetOther(settings, path, value);
-    }
+    SetByPath(settings, path, value);
   }
   return settings;
 }
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,36 @@
+// The one place where the configuration is read, checked and given defaults: the environment, and the JSON
+// file that BALANCER_CONFIG names.
+#pragma once
+
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "net/pool_list.h"
+#include "peatbend/balancer.h"
+
+namespace peatbend {
+
+// Says which variable or key is at fault.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name = "peatbend";
+  std::string listen, discovery;  // ADDRESS:PORT
+  std::uint64_t seed = 0;
+  double cores = 1;
+  std::int64_t memory_mb = 192, sockets = 1024;
+  net::PoolList known;
+  Settings settings;
+};
+
+// `text` is the file's; `variable` gives an environment variable or null. Variables go before the file.
+Config ReadConfig(std::string_view text, const std::function<const char*(const char*)>& variable);
+// From this process's environment.
+Config LoadConfig();
+
+}  // namespace peatbend
--- /dev/null
+++ b/src/net/client_session.h
@@ -0,0 +1,70 @@
+// One client's connection: reads commands, hands requests on, writes the answers in the commands' order.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <string_view>
+
+#include "net/client_command.h"
+#include "net/counters.h"
+#include "net/decision.h"
+#include "net/event_handles.h"
+#include "net/log.h"
+#include "net/request.h"
+#include "net/resp.h"
+
+namespace peatbend::net {
+
+class Listener;
+
+class ClientSession : public AnswerSink {
+ public:
+  ClientSession(Listener& home, event_base* base, evutil_socket_t socket, Decision& decision,
+                const Settings& settings, Log& log, Counters& counters);
+  ~ClientSession() override;
+
+  void Served(std::uint64_t place, evbuffer* value) override;
+  void Rejected(std::uint64_t place, Duration come_back) override;
+  void Failed(std::uint64_t place) override;
+
+  // Nothing is owed and nothing has begun to arrive.
+  bool idle() const;
+  // Ends the session once it is idle.
+  void EndWhenIdle();
+  // Where it stands among the sessions; the listener's.
+  std::list<std::unique_ptr<ClientSession>>::iterator self;
+
+ private:
+  struct Owed {
+    BufferPtr answer;  // null: not there yet
+    RequestId id{};
+    bool transaction = false;
+  };
+  static void OnRead(bufferevent*, void* self) { static_cast<ClientSession*>(self)->Read(); }
+  static void OnWritten(bufferevent*, void* self) { static_cast<ClientSession*>(self)->Written(); }
+  static void OnEvent(bufferevent*, short what, void* self);
+  void Read();
+  bool TakeCommand(std::string_view buffer);
+  void Malformed(std::string_view complaint);
+  void Say(std::string_view answer);
+  Owed& At(std::uint64_t place) { return owed_[place - first_]; }
+  void Flush();
+  void Written();
+  bool Crowded() const;
+  void Leave();
+
+  Listener& home_;
+  Decision& decision_;
+  const Settings& settings_;
+  Log& log_;
+  Counters& counters_;
+  resp::Parser parser_;
+  std::deque<Owed> owed_;    // answers owed, in the commands' order
+  std::uint64_t first_ = 0;  // place of the first of them
+  bool closing_ = false;     // no more is read; ends when all is written
+  bool end_when_idle_ = false;
+  BuffereventPtr socket_;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/counters.cpp
@@ -0,0 +1,43 @@
+#include "net/counters.h"
+
+#include <iterator>
+#include <string_view>
+#include <utility>
+
+namespace peatbend::net {
+
+std::string Describe(const Counters& c) {
+  constexpr std::string_view kResults[] = {"good",  "bad",       "full",       "late", "no_connection",
+                                           "reset", "cancelled", "never_sent", "miss"};
+  static_assert(std::size(kResults) == std::tuple_size_v<decltype(Counters::outcomes)>);
+  std::string text = "counters";
+  auto add = [&text](std::string_view name, std::uint64_t value) {
+    text.append(" ").append(name).append("=").append(std::to_string(value));
+  };
+  add("clients_accepted", c.clients_accepted);
+  add("clients_closed", c.clients_closed);
+  add("clients_closed_for_room", c.clients_closed_for_room);
+  add("client_malformed", c.client_malformed);
+  add("pings", c.pings);
+  add("unknown_commands", c.unknown_commands);
+  add("transactions", c.transactions);
+  add("transactions_gone", c.transactions_gone);
+  add("served", c.served);
+  add("rejected", c.rejected);
+  add("failed", c.failed);
+  add("flows", c.flows);
+  add("flows_to_origin", c.flows_to_origin);
+  add("dials", c.dials);
+  add("reused", c.reused);
+  add("not_sent_no_socket", c.not_sent_no_socket);
+  for (std::size_t i = 0; i < std::size(kResults); ++i) {
+    add(std::string("flow_").append(kResults[i]), c.outcomes[i]);
+  }
+  add("member_malformed", c.member_malformed);
+  add("watches", c.watches);
+  add("watch_failures", c.watch_failures);
+  add("pool_changes", c.pool_changes);
+  return text;
+}
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/counters.h
@@ -0,0 +1,29 @@
+// What the program took in, sent and answered. Printed on SIGUSR1 and at exit; docs/oncall.md explains each.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "peatbend/balancer.h"
+
+namespace peatbend::net {
+
+struct Counters {
+  // Taken in.
+  std::uint64_t clients_accepted = 0, clients_closed = 0, clients_closed_for_room = 0;
+  std::uint64_t client_malformed = 0, pings = 0, unknown_commands = 0;
+  std::uint64_t transactions = 0, transactions_gone = 0;
+  // Answered.
+  std::uint64_t served = 0, rejected = 0, failed = 0;
+  // Sent.
+  std::uint64_t flows = 0, flows_to_origin = 0, dials = 0, reused = 0, not_sent_no_socket = 0;
+  std::array<std::uint64_t, 9> outcomes{};  // by Result
+  std::uint64_t member_malformed = 0;
+  // The pool.
+  std::uint64_t watches = 0, watch_failures = 0, pool_changes = 0;
+};
+
+std::string Describe(const Counters& counters);
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/decision.cpp
@@ -0,0 +1,225 @@
+#include "net/decision.h"
+
+#include <algorithm>
+#include <charconv>
+#include <stdexcept>
+
+namespace peatbend::net {
+namespace {
+
+// Keys are 16 hex digits, as the module knows them; any other text is hashed (FNV-1a).
+Key KeyOf(std::string_view text) {
+  std::uint64_t value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  if (text.size() == 16 && error == std::errc() && end == text.data() + text.size()) return Key{value};
+  value = 0xcbf29ce484222325ULL;
+  for (unsigned char c : text) value = (value ^ c) * 0x100000001b3ULL;
+  return Key{value};
+}
+
+Settings OnSockets(Settings settings) {
+  settings.must_subscribe = true;  // discovery says nothing here unless it is asked
+  settings.peers = false;          // there is no way between routers
+  return settings;
+}
+
+}  // namespace
+
+Decision::Decision(event_base* base, const Settings& settings, std::uint64_t seed,
+                   MemberConnections& connections, std::function<void()> watch_pool, const Clock& clock,
+                   Log& log, Counters& counters)
+    : base_(base),
+      settings_(OnSockets(settings)),
+      balancer_(settings_, seed),
+      connections_(connections),
+      watch_pool_(std::move(watch_pool)),
+      clock_(clock),
+      log_(log),
+      counters_(counters),
+      drain_(base, [this] { Drain(); }),
+      timer_(base, [this] { TimersDue(); }) {}
+
+// ---- What happens, queued -------------------------------------------------------------------------
+
+RequestId Decision::Take(std::unique_ptr<Request> request, AnswerSink& client, std::uint64_t place) {
+  do {
+    ++last_id_;
+  } while (transactions_.contains(RequestId{last_id_}));
+  RequestId id{last_id_};
+  TimePoint deadline = clock_.Now() + request->remaining;
+  transactions_[id] =
+      std::make_unique<Transaction>(id, std::move(request), client, place, deadline, counters_);
+  ++counters_.transactions;
+  Post(Taken{id});
+  return id;
+}
+
+void Decision::ClientLeft(RequestId id) {
+  Transaction* transaction = Find(id);
+  if (transaction == nullptr || transaction->finished()) return;
+  transaction->ClientLeft();
+  Post(Left{id});
+}
+
+void Decision::PoolNews(Scope scope, std::vector<PoolEntry> entries) {
+  connections_.Learn(scope, entries);
+  News news{scope, {}};
+  for (PoolEntry& entry : entries) news.entries.push_back(std::move(entry.entry));
+  Post(std::move(news));
+}
+
+void Decision::FlowEnded(ServerSideFlow& flow, FlowReply reply) {
+  ++counters_.outcomes[static_cast<std::size_t>(reply.result)];
+  Post(Ended{flow.id(), flow.attempt(), flow.member(), std::move(reply), flow.elapsed()});
+}
+
+// The module is called from the loop alone, never from within one of its own actions.
+void Decision::Post(Pending event) {
+  pending_.push_back(std::move(event));
+  if (pending_.size() == 1) drain_.SetNow();
+}
+
+void Decision::Drain() {
+  while (!pending_.empty()) {
+    std::visit([this](auto& event) { On(event); }, pending_.front());
+    pending_.pop_front();
+  }
+  ArmTimer();
+}
+
+// ---- Events, told to the module -------------------------------------------------------------------
+
+void Decision::Ask(const Event& event) {
+  actions_.clear();
+  balancer_.Handle(clock_.Now(), event, actions_);
+  for (const Action& action : actions_) {
+    std::visit([this](const auto& one) { Do(one); }, action);
+  }
+}
+
+void Decision::On(News& news) {
+  if (news.scope != Scope::kFailed) ready_ = ready_ || !news.entries.empty();
+  Ask(MembershipEvent{news.scope, news.entries});
+}
+
+void Decision::On(Taken& taken) {
+  Transaction* transaction = Find(taken.id);
+  const Request& request = transaction->request();
+  RequestEvent event;
+  event.id = taken.id;
+  event.key = KeyOf(request.key);
+  event.tenant = request.tenant;
+  event.cls = request.cls;
+  event.write = request.write;
+  event.retry = request.retry;
+  event.remaining = std::max(Duration::zero(), transaction->deadline() - clock_.Now());
+  Ask(event);
+  ForgetIfOver(taken.id);
+}
+
+void Decision::On(Left& left) {
+  Ask(GoneEvent{left.id});
+  ForgetIfOver(left.id);
+}
+
+void Decision::On(Ended& ended) {
+  Transaction* transaction = Find(ended.id);
+  if (transaction != nullptr && ended.reply.result == Result::kGood) {
+    transaction->Serve(ended.reply.value.get());
+  }
+  OutcomeEvent event;
+  event.id = ended.id;
+  event.attempt = ended.attempt;
+  event.server = ended.member;
+  event.result = ended.reply.result;
+  event.note = ended.reply.note;
+  event.elapsed = ended.elapsed;
+  event.done = transaction == nullptr || transaction->finished();
+  event.load = ended.reply.load;
+  if (transaction != nullptr) {
+    --transaction->open_flows;
+    transaction->flows()[static_cast<std::size_t>(ended.attempt)].reset();
+  }
+  Ask(event);
+  ForgetIfOver(ended.id);
+}
+
+void Decision::On(Due& due) { Ask(TimerEvent{due.mark}); }
+
+// ---- Actions of the module, carried out -----------------------------------------------------------
+
+void Decision::Do(const Send& send) {
+  Transaction* transaction = Find(send.id);
+  FlowReply never;
+  never.result = Result::kNeverSent;
+  if (transaction == nullptr) return Post(Ended{send.id, 0, send.server.name, std::move(never), {}});
+  auto& flows = transaction->flows();
+  int attempt = static_cast<int>(flows.size());
+  flows.push_back(std::make_unique<ServerSideFlow>(*this, base_, clock_, send.id, attempt, send.server.name));
+  ++transaction->open_flows;
+  Duration left = transaction->deadline() - clock_.Now();
+  if (transaction->finished() || left <= Duration::zero() || attempt >= settings_.try_limit) {
+    ++counters_.outcomes[static_cast<std::size_t>(Result::kNeverSent)];
+    return Post(Ended{send.id, attempt, send.server.name, std::move(never), {}});
+  }
+  Duration limit = send.give_up_after == Duration::zero() ? left : std::min(left, send.give_up_after);
+  flows.back()->Start(connections_, transaction->request(), limit);
+}
+
+void Decision::Do(const Refuse& refuse) {
+  Transaction* transaction = Find(refuse.id);
+  if (transaction == nullptr) return;
+  transaction->Reject(std::min(refuse.backoff, settings_.max_retry_after));
+  ForgetIfOver(refuse.id);
+}
+
+void Decision::Do(const Fail& fail) {
+  Transaction* transaction = Find(fail.id);
+  if (transaction == nullptr) return;
+  transaction->Fail();
+  ForgetIfOver(fail.id);
+}
+
+void Decision::Do(const Cancel& cancel) {
+  Transaction* transaction = Find(cancel.id);
+  auto attempt = static_cast<std::size_t>(cancel.attempt);
+  if (transaction == nullptr || attempt >= transaction->flows().size()) return;
+  if (ServerSideFlow* flow = transaction->flows()[attempt].get()) flow->Cancel();
+}
+
+void Decision::Do(const SetTimer& timer) { timers_.emplace(clock_.Now() + timer.in, timer.mark); }
+
+void Decision::Do(const Subscribe&) { watch_pool_(); }
+
+void Decision::Do(const Tell&) { log_.Line("tell", "there is no way to other routers"); }
+
+void Decision::Do(const Release& release) { connections_.CloseIdle(release.server.name); }
+
+void Decision::Do(const peatbend::Log& line) { log_.Line("module", line.text); }
+
+// ---- Upkeep ---------------------------------------------------------------------------------------
+
+Transaction* Decision::Find(RequestId id) {
+  auto at = transactions_.find(id);
+  return at == transactions_.end() ? nullptr : at->second.get();
+}
+
+void Decision::ForgetIfOver(RequestId id) {
+  Transaction* transaction = Find(id);
+  if (transaction != nullptr && transaction->finished() && transaction->open_flows == 0) transactions_.erase(id);
+}
+
+void Decision::ArmTimer() {
+  if (!timers_.empty()) timer_.Set(timers_.top().first - clock_.Now());
+}
+
+void Decision::TimersDue() {
+  TimePoint now = clock_.Now();
+  while (!timers_.empty() && timers_.top().first <= now) {
+    Post(Due{timers_.top().second});
+    timers_.pop();
+  }
+  ArmTimer();
+}
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/decision.h
@@ -0,0 +1,105 @@
+// The only caller of the module. Feeds it events one after another, carries out its actions, keeps its timers
+// and numbers its requests. It decides nothing.
+//
+// The shop's words here and the module's there:
+//   pool          MembershipEvent, ServerEntry      transaction       RequestEvent, RequestId
+//   pool member   Server                            server-side flow  Send, attempt, OutcomeEvent
+//   reject        Refuse
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "net/clock.h"
+#include "net/counters.h"
+#include "net/event_handles.h"
+#include "net/log.h"
+#include "net/member_connections.h"
+#include "net/request.h"
+#include "net/transaction.h"
+#include "peatbend/balancer.h"
+
+namespace peatbend::net {
+
+class Decision : public FlowOwner {
+ public:
+  Decision(event_base* base, const Settings& settings, std::uint64_t seed, MemberConnections& connections,
+           std::function<void()> watch_pool, const Clock& clock, Log& log, Counters& counters);
+
+  RequestId Take(std::unique_ptr<Request> request, AnswerSink& client, std::uint64_t place);
+  void ClientLeft(RequestId id);
+  void PoolNews(Scope scope, std::vector<PoolEntry> entries);
+  void FlowEnded(ServerSideFlow& flow, FlowReply reply) override;
+
+  bool ready() const { return ready_; }  // there is a pool to serve from
+  std::size_t transactions() const { return transactions_.size(); }
+
+ private:
+  struct News {
+    Scope scope;
+    std::vector<ServerEntry> entries;
+  };
+  struct Taken {
+    RequestId id;
+  };
+  struct Left {
+    RequestId id;
+  };
+  struct Ended {
+    RequestId id;
+    int attempt;
+    std::string member;
+    FlowReply reply;
+    Duration elapsed;
+  };
+  struct Due {
+    TimerMark mark;
+  };
+  using Pending = std::variant<News, Taken, Left, Ended, Due>;
+
+  void Post(Pending event);
+  void Drain();
+  void On(News& news);
+  void On(Taken& taken);
+  void On(Left& left);
+  void On(Ended& ended);
+  void On(Due& due);
+  void Ask(const Event& event);
+  void Do(const Send& send);
+  void Do(const Refuse& refuse);
+  void Do(const Fail& fail);
+  void Do(const Cancel& cancel);
+  void Do(const SetTimer& timer);
+  void Do(const Subscribe&);
+  void Do(const Tell&);
+  void Do(const Release& release);
+  void Do(const peatbend::Log& line);
+  Transaction* Find(RequestId id);
+  void ForgetIfOver(RequestId id);
+  void ArmTimer();
+  void TimersDue();
+
+  event_base* base_;
+  Settings settings_;
+  Balancer balancer_;
+  MemberConnections& connections_;
+  std::function<void()> watch_pool_;
+  const Clock& clock_;
+  Log& log_;
+  Counters& counters_;
+  bool ready_ = false;
+  std::uint32_t last_id_ = 0;
+  std::unordered_map<RequestId, std::unique_ptr<Transaction>> transactions_;
+  std::deque<Pending> pending_;
+  std::vector<Action> actions_;
+  using TimerEntry = std::pair<TimePoint, TimerMark>;
+  std::priority_queue<TimerEntry, std::vector<TimerEntry>, std::greater<>> timers_;
+  Timer drain_, timer_;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,89 @@
+#include "net/listener.h"
+
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+namespace peatbend::net {
+namespace {
+constexpr int kBacklog = 511;
+// Of the sockets: so many stay for pool members and the origin however many clients come.
+constexpr std::size_t kForMembers = 3;  // one part in three
+}  // namespace
+
+Listener::Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
+                   SocketBudget& sockets, Log& log, Counters& counters)
+    : base_(base),
+      decision_(decision),
+      settings_(settings),
+      sockets_(sockets),
+      log_(log),
+      counters_(counters),
+      stopped_(base, [this] { then_(); }) {
+  sockaddr_storage to{};
+  int size = 0;
+  ReadAddress(address, to, size);
+  listener_.reset(evconnlistener_new_bind(
+      base,
+      [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
+        static_cast<Listener*>(self)->Accepted(socket);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
+      reinterpret_cast<sockaddr*>(&to), size));
+  if (!listener_) throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
+  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
+    auto* listener = static_cast<Listener*>(self);
+    listener->log_.Line("accept failed", std::strerror(errno));
+    listener->MakeRoom();
+  });
+}
+
+Listener::~Listener() {
+  while (!sessions_.empty()) End(*sessions_.back());
+}
+
+int Listener::port() const {
+  sockaddr_in bound{};
+  socklen_t size = sizeof bound;
+  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&bound), &size);
+  return ntohs(bound.sin_port);
+}
+
+void Listener::Accepted(evutil_socket_t socket) {
+  ++counters_.clients_accepted;
+  ++sockets_.held;
+  sessions_.push_back(
+      std::make_unique<ClientSession>(*this, base_, socket, decision_, settings_, log_, counters_));
+  sessions_.back()->self = std::prev(sessions_.end());
+  if (sessions_.size() > sockets_.most - sockets_.most / kForMembers || sockets_.held >= sockets_.most) MakeRoom();
+}
+
+// Closes the oldest session that is between requests: its client opens another when it needs one.
+void Listener::MakeRoom() {
+  for (auto& session : sessions_) {
+    if (!session->idle() || session == sessions_.back()) continue;
+    ++counters_.clients_closed_for_room;
+    return End(*session);
+  }
+  log_.Line("clients crowded", std::to_string(sessions_.size()) + " sessions, none of them idle");
+}
+
+void Listener::End(ClientSession& session) {
+  ++counters_.clients_closed;
+  --sockets_.held;
+  sessions_.erase(session.self);
+  if (then_ && sessions_.empty()) stopped_.SetNow();
+}
+
+void Listener::Stop(std::function<void()> then) {
+  then_ = std::move(then);
+  evconnlistener_disable(listener_.get());
+  listener_.reset();
+  for (auto at = sessions_.begin(); at != sessions_.end();) (*at++)->EndWhenIdle();
+  if (sessions_.empty()) stopped_.SetNow();
+}
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,46 @@
+// Accepts clients and owns their sessions.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "net/client_session.h"
+#include "net/counters.h"
+#include "net/decision.h"
+#include "net/event_handles.h"
+#include "net/log.h"
+#include "net/member_connections.h"
+
+namespace peatbend::net {
+
+class Listener {
+ public:
+  Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
+           SocketBudget& sockets, Log& log, Counters& counters);
+  ~Listener();
+
+  void End(ClientSession& session);
+  // Accepts no more, ends each session once nothing is owed on it, then calls `then`.
+  void Stop(std::function<void()> then);
+  int port() const;
+  std::size_t sessions() const { return sessions_.size(); }
+
+ private:
+  void Accepted(evutil_socket_t socket);
+  void MakeRoom();
+
+  event_base* base_;
+  Decision& decision_;
+  const Settings& settings_;
+  SocketBudget& sockets_;
+  Log& log_;
+  Counters& counters_;
+  std::list<std::unique_ptr<ClientSession>> sessions_;  // the last accepted last
+  std::function<void()> then_;
+  Timer stopped_;
+  ListenerPtr listener_;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/member_connections.cpp
@@ -0,0 +1,193 @@
+#include "net/member_connections.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+
+#include "net/server_side_flow.h"
+
+namespace peatbend::net {
+namespace {
+// Of the time after which a member closes an idle connection: closed here. The rest covers a request that
+// would otherwise cross the member's close and end as a reset.
+constexpr double kIdlePart = 0.8;
+constexpr Duration kDialDefault = std::chrono::seconds(1), kIdleDefault = std::chrono::seconds(10);
+}  // namespace
+
+MemberConnection::MemberConnection(MemberConnections& home, Member& member, std::unique_ptr<ServerCodec> codec)
+    : home_(home), member_(member), codec_(std::move(codec)), timer_(home.base_, [this] { Break(); }) {
+  ++home_.sockets_.held;
+}
+
+MemberConnection::~MemberConnection() { --home_.sockets_.held; }
+
+bool MemberConnection::Dial(const sockaddr_storage& address, int size, Duration timeout) {
+  socket_.reset(bufferevent_socket_new(home_.base_, -1, BEV_OPT_CLOSE_ON_FREE));
+  if (!socket_) return false;
+  bufferevent_setcb(socket_.get(), OnRead, nullptr, OnEvent, this);
+  if (bufferevent_socket_connect(socket_.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0) {
+    return false;
+  }
+  int yes = 1;
+  setsockopt(bufferevent_getfd(socket_.get()), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
+  timer_.Set(timeout);
+  return true;
+}
+
+void MemberConnection::Begin(ServerSideFlow& flow, const Request& request, Duration limit) {
+  flow_ = &flow;
+  if (connected_) timer_.Stop();
+  codec_->Encode(request, limit, bufferevent_get_output(socket_.get()));
+}
+
+bool MemberConnection::written() const {
+  return connected_ && evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
+}
+
+void MemberConnection::Abandon() {
+  flow_ = nullptr;
+  home_.Close(*this);
+}
+
+void MemberConnection::Read() {
+  if (flow_ == nullptr) return Break();  // nobody asked
+  if (auto reply = codec_->Read(bufferevent_get_input(socket_.get()))) {
+    bool keep = codec_->reusable() && written() &&
+                evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0;
+    Finish(std::move(*reply), keep);
+  }
+}
+
+void MemberConnection::Finish(FlowReply reply, bool keep) {
+  if (!reply.complaint.empty()) {
+    ++home_.counters_.member_malformed;
+    home_.log_.Line("member malformed", member_.name + ": " + std::string(reply.complaint));
+  }
+  ServerSideFlow* flow = std::exchange(flow_, nullptr);
+  keep ? home_.Idle(*this) : home_.Close(*this);
+  flow->Answered(std::move(reply));
+}
+
+void MemberConnection::Happened(short what) {
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    connected_ = true;
+    timer_.Stop();
+    return;
+  }
+  if ((what & BEV_EVENT_EOF) != 0 && flow_ != nullptr) {
+    if (auto reply = codec_->ReadAtEnd()) return Finish(std::move(*reply), false);
+  }
+  Break();
+}
+
+// The connection did not come up in time, broke or has stood idle long enough.
+void MemberConnection::Break() {
+  bool sent = flow_ != nullptr && written();
+  ServerSideFlow* flow = std::exchange(flow_, nullptr);
+  home_.Close(*this);
+  if (flow != nullptr) flow->Broken(sent);
+}
+
+MemberConnections::MemberConnections(event_base* base, const Settings& settings, SocketBudget& sockets,
+                                     const Clock& clock, Log& log, Counters& counters)
+    : base_(base), settings_(settings), sockets_(sockets), clock_(clock), log_(log), counters_(counters) {}
+
+void MemberConnections::Learn(Scope scope, const std::vector<PoolEntry>& entries) {
+  if (scope == Scope::kFull || scope == Scope::kCached) {
+    for (auto& [name, member] : members_) member.gone = true;
+  }
+  for (const PoolEntry& entry : entries) {
+    Member& member = members_[entry.entry.id.name];
+    member.name = entry.entry.id.name;
+    member.gone = entry.entry.listed == Listed::kGone;
+    member.origin = settings_.aside && entry.entry.kind == settings_.origin_kind;
+    if (!entry.address.empty() && entry.address != member.address) {  // moved: what stands there is another's
+      CloseIdle(member.name);
+      member.address = entry.address;
+      member.to = entry.to;
+      member.to_size = entry.to_size;
+    }
+    if (entry.entry.listed != Listed::kReady) CloseIdle(member.name);
+  }
+  for (auto at = members_.begin(); at != members_.end();) DropIfGone((at++)->second);
+}
+
+void MemberConnections::DropIfGone(Member& member) {
+  if (!member.gone) return;
+  CloseIdle(member.name);
+  if (member.connections.empty()) members_.erase(std::string(member.name));
+}
+
+MemberConnection* MemberConnections::Begin(ServerSideFlow& flow, const Request& request, Duration limit) {
+  auto found = members_.find(flow.member());
+  if (found == members_.end() || found->second.to_size == 0) {
+    log_.Line("member unknown", flow.member());
+    return nullptr;
+  }
+  Member& member = found->second;
+  MemberConnection* connection = nullptr;
+  ++counters_.flows;
+  if (member.origin) ++counters_.flows_to_origin;
+  if (!member.idle.empty()) {
+    connection = member.idle.back();
+    member.idle.pop_back();
+    ++counters_.reused;
+  } else {
+    if (!MakeRoom()) {
+      ++counters_.not_sent_no_socket;
+      log_.Line("no socket", "a flow to " + member.name + " could not be sent");
+      return nullptr;
+    }
+    ++counters_.dials;
+    member.connections.push_front(std::make_unique<MemberConnection>(
+        *this, member, member.origin ? NewOriginCodec() : NewMemberCodec()));
+    connection = member.connections.front().get();
+    connection->self_ = member.connections.begin();
+    Duration timeout = settings_.dial_timeout > Duration::zero() ? settings_.dial_timeout : kDialDefault;
+    if (!connection->Dial(member.to, member.to_size, timeout)) {
+      log_.Line("dial failed", member.name + " at " + member.address);
+      Close(*connection);
+      return nullptr;
+    }
+  }
+  connection->Begin(flow, request, limit);
+  return connection;
+}
+
+void MemberConnections::Idle(MemberConnection& connection) {
+  if (connection.member_.gone) return Close(connection);
+  Duration idle = settings_.keepalive > Duration::zero() ? settings_.keepalive : kIdleDefault;
+  connection.idle_since_ = clock_.Now();
+  connection.member_.idle.push_back(&connection);
+  connection.timer_.Set(Duration(static_cast<Duration::rep>(kIdlePart * static_cast<double>(idle.count()))));
+}
+
+void MemberConnections::Close(MemberConnection& connection) {
+  Member& member = connection.member_;
+  std::erase(member.idle, &connection);
+  member.connections.erase(connection.self_);
+}
+
+void MemberConnections::CloseIdle(const std::string& name) {
+  auto found = members_.find(name);
+  if (found == members_.end()) return;
+  while (!found->second.idle.empty()) Close(*found->second.idle.back());
+}
+
+// A place for one more socket, made by closing the connection that has stood idle longest if need be.
+bool MemberConnections::MakeRoom() {
+  if (sockets_.held < sockets_.most) return true;
+  MemberConnection* oldest = nullptr;
+  for (auto& [name, member] : members_) {
+    if (member.idle.empty()) continue;
+    MemberConnection* first = member.idle.front();
+    if (oldest == nullptr || first->idle_since_ < oldest->idle_since_) oldest = first;
+  }
+  if (oldest == nullptr) return false;
+  Close(*oldest);
+  return true;
+}
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/member_connections.h
@@ -0,0 +1,100 @@
+// Connections to pool members: dialled when none stands idle, one flow at a time on each, kept for the next
+// flow, closed before the member would close them.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/event_handles.h"
+#include "net/log.h"
+#include "net/pool_list.h"
+#include "net/request.h"
+#include "net/server_codec.h"
+
+namespace peatbend::net {
+
+class ServerSideFlow;
+class MemberConnections;
+
+// How many sockets the program may hold, and holds.
+struct SocketBudget {
+  std::size_t most = 1024;
+  std::size_t held = 0;
+};
+
+struct Member;
+
+class MemberConnection {
+ public:
+  MemberConnection(MemberConnections& home, Member& member, std::unique_ptr<ServerCodec> codec);
+  ~MemberConnection();
+
+  bool Dial(const sockaddr_storage& address, int size, Duration timeout);
+  void Begin(ServerSideFlow& flow, const Request& request, Duration limit);
+  // The flow no longer waits: what comes for it must not be taken for another's answer, so this closes.
+  void Abandon();
+  // Whether the request's last byte was handed to the socket. Queued here is not written.
+  bool written() const;
+
+ private:
+  friend class MemberConnections;
+  static void OnRead(bufferevent*, void* self) { static_cast<MemberConnection*>(self)->Read(); }
+  static void OnEvent(bufferevent*, short what, void* self) {
+    static_cast<MemberConnection*>(self)->Happened(what);
+  }
+  void Read();
+  void Happened(short what);
+  void Finish(FlowReply reply, bool keep);
+  void Break();
+
+  MemberConnections& home_;
+  Member& member_;
+  std::unique_ptr<ServerCodec> codec_;
+  ServerSideFlow* flow_ = nullptr;
+  bool connected_ = false;
+  TimePoint idle_since_{};
+  std::list<std::unique_ptr<MemberConnection>>::iterator self_;
+  Timer timer_;  // dialling: not up in time; idle: to be closed
+  BuffereventPtr socket_;
+};
+
+struct Member {
+  std::string name, address;
+  sockaddr_storage to{};
+  int to_size = 0;
+  bool origin = false, gone = false;
+  std::list<std::unique_ptr<MemberConnection>> connections;
+  std::vector<MemberConnection*> idle;  // the last used last
+};
+
+class MemberConnections {
+ public:
+  MemberConnections(event_base* base, const Settings& settings, SocketBudget& sockets, const Clock& clock,
+                    Log& log, Counters& counters);
+
+  void Learn(Scope scope, const std::vector<PoolEntry>& entries);
+  // Null if no connection can be tried.
+  MemberConnection* Begin(ServerSideFlow& flow, const Request& request, Duration limit);
+  void CloseIdle(const std::string& member);
+
+ private:
+  friend class MemberConnection;
+  void Close(MemberConnection& connection);
+  void Idle(MemberConnection& connection);
+  bool MakeRoom();
+  void DropIfGone(Member& member);
+
+  event_base* base_;
+  const Settings& settings_;
+  SocketBudget& sockets_;
+  const Clock& clock_;
+  Log& log_;
+  Counters& counters_;
+  std::map<std::string, Member, std::less<>> members_;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/origin.cpp
@@ -0,0 +1,95 @@
+// HTTP to and from the origin.
+#include <charconv>
+
+#include "net/http1.h"
+#include "net/resp.h"
+#include "net/server_codec.h"
+
+namespace peatbend::net {
+namespace {
+
+class OriginCodec : public ServerCodec {
+ public:
+  void Encode(const Request& request, Duration, evbuffer* out) override {
+    reader_.emplace(resp::kMaxValue);
+    auto add = [out](std::string_view text) { Append(out, text); };
+    add(request.write ? "PUT /" : "GET /");
+    add(request.key);
+    add(" HTTP/1.1\r\nHost: origin\r\nX-Correlation-Id: ");
+    add(request.id);
+    add("\r\nX-Facts: ");
+    add(request.facts);  // as received
+    if (request.write) evbuffer_add_printf(out, "\r\nContent-Length: %zu", request.value.size());
+    add("\r\n\r\n");
+    add(request.value);
+  }
+
+  std::optional<FlowReply> Read(evbuffer* in) override {
+    switch (reader_->Read(in)) {
+      case http1::ResponseReader::Status::kMore:
+        return std::nullopt;
+      case http1::ResponseReader::Status::kBad: {
+        FlowReply reply;
+        reply.complaint = reader_->error();
+        return reply;
+      }
+      case http1::ResponseReader::Status::kDone:
+        break;
+    }
+    whole_ = true;
+    return Reply();
+  }
+
+  std::optional<FlowReply> ReadAtEnd() override {
+    if (!reader_ || reader_->AtEnd() != http1::ResponseReader::Status::kDone) return std::nullopt;
+    return Reply();
+  }
+
+  bool reusable() const override { return whole_ && reader_->keep_alive(); }
+
+ private:
+  FlowReply Reply() {
+    FlowReply reply;
+    reply.load = ReadLoad(reader_->Header("x-backend-load"));
+    int status = reader_->status();
+    if (status == 200) {
+      reply.result = Result::kGood;
+      reply.value = NewBuffer();
+      evbuffer_add_buffer(reply.value.get(), reader_->body());
+    } else if ((status == 503 || status == 504) && reader_->Header("x-unprocessed") == "1") {
+      reply.result = Result::kFull;
+    } else if (status < 500) {
+      reply.complaint = "a status that the protocol does not name";
+    }
+    return reply;
+  }
+  std::optional<http1::ResponseReader> reader_;
+  bool whole_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<ServerCodec> NewOriginCodec() { return std::make_unique<OriginCodec>(); }
+
+LoadReport ReadLoad(std::string_view text) {
+  LoadReport load;
+  while (!text.empty()) {
+    std::string_view part = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(text.size(), part.size() + 1));
+    std::size_t sign = part.find_first_of("=:");
+    if (sign == std::string_view::npos) continue;
+    std::string_view name = part.substr(0, sign), value = part.substr(sign + 1);
+    double number = 0;
+    auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (error != std::errc() || end != value.data() + value.size()) continue;
+    if (name == "concurrent") load.in_flight = number;
+    if (name == "depth") load.queued = number;
+    if (name == "load_share") load.utilisation = number;
+    if (name == "mean_ms") load.service_ms = number;
+    if (name == "tps") load.per_second = number;
+    if (name == "err_ps") load.errors_per_second = number;
+  }
+  return load;
+}
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/pool.h
@@ -0,0 +1,52 @@
+// The pool: discovery's list and the watch on its changes. Opens a watch when told to and says how it went;
+// when to try again is the module's to decide.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/event_handles.h"
+#include "net/http1.h"
+#include "net/log.h"
+#include "net/pool_list.h"
+
+namespace peatbend::net {
+
+class Pool {
+ public:
+  // Called with each change, and with kFailed once for each watch that could not be had or has ended.
+  using OnNews = std::function<void(Scope, std::vector<PoolEntry>)>;
+  Pool(event_base* base, const std::string& address, const Settings& settings, std::int64_t known_index,
+       Log& log, Counters& counters, OnNews on_news);
+
+  // Opens a watch on what changed after the list held; ends one that is open.
+  void Watch();
+
+ private:
+  static void OnRead(bufferevent*, void* self) { static_cast<Pool*>(self)->Read(); }
+  static void OnEvent(bufferevent*, short what, void* self) {
+    if ((what & BEV_EVENT_CONNECTED) == 0) static_cast<Pool*>(self)->Failed("connection ended or refused");
+  }
+  void Read();
+  bool TakeLine(std::string_view line);
+  void Failed(std::string_view why);
+
+  event_base* base_;
+  std::string address_;
+  sockaddr_storage to_{};
+  int to_size_ = 0;
+  const Settings& settings_;
+  std::int64_t index_;
+  Log& log_;
+  Counters& counters_;
+  OnNews on_news_;
+  Timer silence_;
+  std::optional<http1::ResponseReader> reader_;
+  BuffereventPtr socket_;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/pool_list.h
@@ -0,0 +1,35 @@
+// Discovery's list in its JSON form.
+#pragma once
+
+#include <sys/socket.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "peatbend/balancer.h"
+
+namespace peatbend::net {
+
+struct PoolEntry {
+  ServerEntry entry;
+  std::string address;
+  sockaddr_storage to{};
+  int to_size = 0;
+};
+
+struct PoolList {
+  std::int64_t index = 0;
+  bool snapshot = false;
+  std::vector<PoolEntry> entries;
+};
+
+// Throws std::invalid_argument, naming the key at fault.
+PoolList ReadPoolList(const nlohmann::json& json, const Settings& settings);
+PoolList ReadPoolList(std::string_view text, const Settings& settings);
+
+// "10.1.0.18:6379"; throws std::invalid_argument.
+void ReadAddress(const std::string& text, sockaddr_storage& to, int& size);
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/request.h
@@ -0,0 +1,35 @@
+// A request between a client's protocol and the rest: a client codec hands over a Request and takes an answer
+// through an AnswerSink. Nothing here or behind it knows how either looked on the client's connection.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "net/event_handles.h"
+#include "peatbend/balancer.h"
+
+namespace peatbend::net {
+
+struct Request {
+  Request() = default;
+  Request(const Request&) = delete;  // the views below point into text
+  Request& operator=(const Request&) = delete;
+
+  std::string text;  // copied from the client's buffer, which it outlives: it may be sent more than once
+  std::string_view command, key, id, facts, value;
+  bool write = false, retry = false;
+  int cls = 0, tenant = -1;  // tenant: -1 if not one of the settings'
+  Duration remaining{};      // from the arrival of the last byte
+};
+
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+  // One of these, once for each place. `value` may be emptied.
+  virtual void Served(std::uint64_t place, evbuffer* value) = 0;
+  virtual void Rejected(std::uint64_t place, Duration come_back) = 0;
+  virtual void Failed(std::uint64_t place) = 0;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/router.h
@@ -0,0 +1,46 @@
+// The stages, wired together in the order that a request passes them. The program runs one; tests too.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "config.h"
+#include "net/clock.h"
+#include "net/counters.h"
+#include "net/decision.h"
+#include "net/event_handles.h"
+#include "net/listener.h"
+#include "net/log.h"
+#include "net/member_connections.h"
+#include "net/pool.h"
+
+namespace peatbend::net {
+
+class Router {
+ public:
+  Router(event_base* base, const Config& config);
+
+  // Keeps serving what comes, finishes all that was taken, then calls `then`.
+  void Stop(std::function<void()> then);
+  void PrintCounters() { log_.Line("counters", Describe(counters_)); }
+  const Counters& counters() const { return counters_; }
+  int port() const { return listener_.port(); }
+
+ private:
+  Duration LongestDeadline() const;
+
+  Settings settings_;
+  Clock clock_;
+  Counters counters_;
+  Log log_;
+  SocketBudget sockets_;
+  MemberConnections connections_;
+  Decision decision_;
+  Pool pool_;
+  Listener listener_;
+  std::function<void()> then_;
+  bool stopping_ = false;
+  Timer stop_listening_, stop_at_last_;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/server_side_flow.cpp
@@ -0,0 +1,51 @@
+#include "net/server_side_flow.h"
+
+#include "net/member_connections.h"
+
+namespace peatbend::net {
+
+ServerSideFlow::~ServerSideFlow() {
+  if (connection_ != nullptr) connection_->Abandon();
+}
+
+void ServerSideFlow::Start(MemberConnections& connections, const Request& request, Duration limit) {
+  started_ = clock_.Now();
+  if (limit <= Duration::zero()) return EndWith(Result::kLate);
+  connection_ = connections.Begin(*this, request, limit);
+  if (connection_ == nullptr) return EndWith(Result::kNoConn);
+  limit_.Set(limit);
+}
+
+void ServerSideFlow::Cancel() {
+  if (ended_) return;
+  LeaveConnection();
+  EndWith(Result::kCancelled);
+}
+
+// What was not written whole by now never ran: to the module that is a connection that did not come up.
+void ServerSideFlow::OutOfTime() {
+  bool written = LeaveConnection();
+  EndWith(written ? Result::kLate : Result::kNoConn);
+}
+
+// Closes the connection, which tells the member that nobody waits; returns whether the request was written.
+bool ServerSideFlow::LeaveConnection() {
+  bool written = connection_->written();
+  std::exchange(connection_, nullptr)->Abandon();
+  return written;
+}
+
+void ServerSideFlow::EndWith(Result result) {
+  FlowReply reply;
+  reply.result = result;
+  End(std::move(reply));
+}
+
+void ServerSideFlow::End(FlowReply reply) {
+  if (std::exchange(ended_, true)) return;
+  connection_ = nullptr;
+  limit_.Stop();
+  owner_.FlowEnded(*this, std::move(reply));
+}
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/server_side_flow.h
@@ -0,0 +1,62 @@
+// One attempt at a pool member: from the module's Send to its one outcome.
+#pragma once
+
+#include <string>
+
+#include "net/clock.h"
+#include "net/event_handles.h"
+#include "net/request.h"
+#include "net/server_codec.h"
+
+namespace peatbend::net {
+
+class MemberConnection;
+class MemberConnections;
+class ServerSideFlow;
+
+class FlowOwner {
+ public:
+  virtual ~FlowOwner() = default;
+  // Comes once for each flow, possibly from within Start or Cancel. The flow must outlive the call.
+  virtual void FlowEnded(ServerSideFlow& flow, FlowReply reply) = 0;
+};
+
+class ServerSideFlow {
+ public:
+  ServerSideFlow(FlowOwner& owner, event_base* base, const Clock& clock, RequestId id, int attempt,
+                 std::string member)
+      : owner_(owner), clock_(clock), id_(id), attempt_(attempt), member_(std::move(member)),
+        limit_(base, [this] { OutOfTime(); }) {}
+  ~ServerSideFlow();
+
+  void Start(MemberConnections& connections, const Request& request, Duration limit);
+  void Cancel();
+
+  // From the connection, which lets go of the flow first.
+  void Answered(FlowReply reply) { End(std::move(reply)); }
+  void Broken(bool written) { EndWith(written ? Result::kReset : Result::kNoConn); }
+
+  RequestId id() const { return id_; }
+  int attempt() const { return attempt_; }
+  const std::string& member() const { return member_; }
+  Duration elapsed() const { return clock_.Now() - started_; }
+  bool ended() const { return ended_; }
+
+ private:
+  void OutOfTime();
+  bool LeaveConnection();
+  void EndWith(Result result);
+  void End(FlowReply reply);
+
+  FlowOwner& owner_;
+  const Clock& clock_;
+  RequestId id_;
+  int attempt_;
+  std::string member_;
+  TimePoint started_{};
+  MemberConnection* connection_ = nullptr;
+  bool ended_ = false;
+  Timer limit_;
+};
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/transaction.cpp
@@ -0,0 +1,32 @@
+#include "net/transaction.h"
+
+#include <utility>
+
+namespace peatbend::net {
+
+void Transaction::Serve(evbuffer* value) {
+  if (AnswerSink* client = std::exchange(client_, nullptr)) {
+    ++counters_.served;
+    client->Served(place_, value);
+  }
+}
+
+void Transaction::Reject(Duration come_back) {
+  if (AnswerSink* client = std::exchange(client_, nullptr)) {
+    ++counters_.rejected;
+    client->Rejected(place_, come_back);
+  }
+}
+
+void Transaction::Fail() {
+  if (AnswerSink* client = std::exchange(client_, nullptr)) {
+    ++counters_.failed;
+    client->Failed(place_);
+  }
+}
+
+void Transaction::ClientLeft() {
+  if (std::exchange(client_, nullptr) != nullptr) ++counters_.transactions_gone;
+}
+
+}  // namespace peatbend::net
--- /dev/null
+++ b/src/net/transaction.h
@@ -0,0 +1,45 @@
+// One request, from taken to its single final answer.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/request.h"
+#include "net/server_side_flow.h"
+
+namespace peatbend::net {
+
+class Transaction {
+ public:
+  Transaction(RequestId id, std::unique_ptr<Request> request, AnswerSink& client, std::uint64_t place,
+              TimePoint deadline, Counters& counters)
+      : id_(id), request_(std::move(request)), client_(&client), place_(place), deadline_(deadline),
+        counters_(counters) {}
+
+  // The first of these ends it; the others then do nothing.
+  void Serve(evbuffer* value);
+  void Reject(Duration come_back);
+  void Fail();
+  void ClientLeft();
+
+  bool finished() const { return client_ == nullptr; }
+  RequestId id() const { return id_; }
+  const Request& request() const { return *request_; }
+  TimePoint deadline() const { return deadline_; }
+
+  // Flows, by the number of the attempt; one that has ended and been told of is null.
+  std::vector<std::unique_ptr<ServerSideFlow>>& flows() { return flows_; }
+  int open_flows = 0;  // whose outcome the module has not had
+
+ private:
+  RequestId id_;
+  std::unique_ptr<Request> request_;
+  AnswerSink* client_;  // null once answered
+  std::uint64_t place_;
+  TimePoint deadline_;
+  Counters& counters_;
+  std::vector<std::unique_ptr<ServerSideFlow>> flows_;
+};
+
+}  // namespace peatbend::net
