--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -64,7 +64,7 @@
   if (line.empty()) return true;  // a heartbeat
   PoolList list;
   try {
-    list = ReadPoolList(line, settings_);
+    list = ParsePoolList(line, settings_);
   } catch (const std::invalid_argument& error) {
     Failed(std::string("malformed list: ") + error.what());
     return false;
--- a/src/net/pool_list.cpp
+++ b/src/net/pool_list.cpp
@@ -1,8 +1,11 @@
 #include "net/pool_list.h"
 
 #include <event2/util.h>
+#include <netinet/in.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <stdexcept>
 
 namespace peatbend::net {
@@ -60,7 +63,7 @@
   // The module's clock shows Unix time (clock.h), and 0 means long ago to both.
   double since = FieldOr<double>(object, "since_ms", 0.0);
   if (!(since >= 0 && since < 9e12)) throw std::invalid_argument("since_ms: out of range");
-  entry.entry.started = TimePoint{Duration(static_cast<Duration::rep>(since * 1e6))};
+  entry.entry.started = TimePoint{std::chrono::milliseconds(std::llround(since))};
   return entry;
 }
 
@@ -68,9 +71,18 @@
 
 void ReadAddress(const std::string& text, sockaddr_storage& to, int& size) {
   size = sizeof to;
-  bool parsed = evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&to), &size) == 0;
-  if (!parsed || text.rfind(':') == std::string::npos) {
-    throw std::invalid_argument("address: ADDRESS:PORT expected, found '" + text + "'");
+  std::size_t colon = text.rfind(':');
+  std::string host = text.substr(0, colon);
+  std::uint16_t port = 0;  // 0, which the parser of libevent refuses, lets a test listen where there is room
+  const char* end = text.data() + text.size();
+  bool fine = colon != std::string::npos && host.find_first_of("[]:") == host.find('[') &&
+              std::from_chars(text.data() + colon + 1, end, port).ptr == end && text.back() != ':' &&
+              evutil_parse_sockaddr_port(host.c_str(), reinterpret_cast<sockaddr*>(&to), &size) == 0;
+  if (!fine) throw std::invalid_argument("address: ADDRESS:PORT expected, found '" + text + "'");
+  if (to.ss_family == AF_INET) {
+    reinterpret_cast<sockaddr_in&>(to).sin_port = htons(port);
+  } else {
+    reinterpret_cast<sockaddr_in6&>(to).sin6_port = htons(port);
   }
 }
 
@@ -85,7 +97,7 @@
   return list;
 }
 
-PoolList ReadPoolList(std::string_view text, const Settings& settings) {
+PoolList ParsePoolList(std::string_view text, const Settings& settings) {
   json object = json::parse(text, nullptr, false);
   if (object.is_discarded()) throw std::invalid_argument("not JSON");
   return ReadPoolList(object, settings);
--- /dev/null
+++ b/tests/net/rules_test.cpp
@@ -0,0 +1,256 @@
+// The rules and the protocol's promises, each on real sockets.
+#include <sys/socket.h>
+
+#include <set>
+#include <string>
+
+#include "net/stage.h"
+
+namespace peatbend::net::test {
+namespace {
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfrom", kFrom = "$4\r\nfrom\r\n";
+const std::string kRead = Get(kKey, "c=read,t=acme,d=480,r=1,size=9");
+
+std::uint64_t Outcomes(const Stage& stage, Result result) {
+  return stage.router.counters().outcomes[static_cast<std::size_t>(result)];
+}
+
+TEST_CASE("a read passes key, id and facts on and brings the member's value back") {
+  Stage stage(Stage::Says(Value("a\r\nb")));
+  CHECK(stage.Ask(kRead) == "$4\r\na\r\nb\r\n");
+  const std::string& got = stage.member.ends.front().got;
+  std::size_t d = got.find("c=read,t=acme,d=");
+  REQUIRE(d != std::string::npos);
+  CHECK(got.starts_with("*4\r\n" + Bulk("OBJ.GET") + Bulk(kKey) + Bulk("9b1f03aa5c7e2d41") + "$"));
+  CHECK(got.ends_with(",r=1,size=9\r\n"));
+  int limit = std::stoi(got.substr(d + 16));
+  CHECK(limit > 0);
+  CHECK(limit < 480);  // the flow's own limit: time is kept for another try
+}
+
+TEST_CASE("a miss is fetched from the origin, in HTTP") {
+  Stage stage(Stage::Says(kMiss), Stage::Says(kOk));
+  CHECK(stage.Ask(kRead) == kFrom);
+  CHECK(stage.origin.ends.front().got ==
+        std::string("GET /") + kKey +
+            " HTTP/1.1\r\nHost: origin\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\n"
+            "X-Facts: c=read,t=acme,d=480,r=1,size=9\r\n\r\n");
+}
+
+TEST_CASE("a value of 64 KiB passes whole, in both directions") {
+  std::string big(resp::kMaxValue, 'v');
+  Stage stage(Stage::Says(Value(big)), [&](End& end) {
+    if (end.got.ends_with(big)) end.Say(kOk);
+  });
+  CHECK(stage.Ask(kRead) == Bulk(big));
+  CHECK(stage.Ask(Set(kKey, "c=keyed,d=2000,k=1", big)) == kFrom);
+  CHECK(stage.origin.ends.front().got.find("Content-Length: 65536\r\n\r\n" + big) != std::string::npos);
+}
+
+// Rule 1. Guards against requests that nobody answers, and against two answers to one.
+TEST_CASE("rule: silent servers lead to one final answer by the deadline, and no more") {
+  Stage stage;
+  End& client = stage.Client(Get(kKey, "c=read,t=acme,d=300"));
+  stage.Until([&] { return client.got.ends_with("\r\n"); });
+  CHECK(client.got == "-BUSY 500\r\n");
+  for (End& end : stage.member.ends) {
+    if (!end.closed) end.Say(Value("late"));
+  }
+  client.Say("*1\r\n" + Bulk("PING"));
+  stage.Until([&] { return client.got.ends_with("+PONG\r\n"); });
+  CHECK(client.got == "-BUSY 500\r\n+PONG\r\n");
+  CHECK(Outcomes(stage, Result::kLate) == stage.router.counters().flows);
+  stage.Until([&] { return stage.member.ends.front().closed; });  // a flow given up closes its connection
+}
+
+// Rule 2. What may have run is resent only as its class allows.
+TEST_CASE("rule: an unsafe write cut off after it was written is neither resent nor refused") {
+  Stage stage({}, [](End& end) { end.Hang(); });
+  CHECK(stage.Ask(Set(kKey, "c=unsafe,d=900", "v")) == "-ERR failed\r\n");
+  CHECK(stage.origin.Count("PUT /") == 1);
+  CHECK(Outcomes(stage, Result::kReset) == 1);
+}
+
+TEST_CASE("rule: a keyed write cut off is resent with the same key") {
+  int times = 0;
+  Stage stage({}, [&](End& end) { ++times == 1 ? end.Hang() : end.Say(kOk); });
+  CHECK(stage.Ask(Set(kKey, "c=keyed,d=900,k=5c0f", "v")) == kFrom);
+  CHECK(stage.origin.Count("k=5c0f") == 2);
+}
+
+TEST_CASE("rule: an unsafe write that could not connect never ran and may be refused") {
+  Stage stage;
+  stage.origin.Refuse();
+  CHECK(stage.Ask(Set(kKey, "c=unsafe,d=900", "v")).starts_with("-BUSY"));
+  CHECK(Outcomes(stage, Result::kNoConn) == stage.router.counters().flows);
+}
+
+// Rule 3.
+TEST_CASE("rule: nothing goes to a member once discovery has written that it drains") {
+  Stage stage(Stage::Says(Value("x")), Stage::Says(kOk));
+  CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
+  std::string draining = Member("box-1", stage.member.port);
+  draining.replace(draining.find("SERVING"), 7, "DRAINING");
+  stage.Watched({R"({"index":42,"snapshot":false,"endpoints":[)" + draining + "]}"});
+  stage.Until([&] { return stage.router.counters().pool_changes == 1; });
+  for (int i = 0; i < 5; ++i) CHECK(stage.Ask(kRead) == kFrom);
+  CHECK(stage.member.Count("OBJ.GET") == 1);
+  stage.Until([&] { return stage.member.ends.front().closed; });  // nor is a connection kept to it
+}
+
+// Rule 4. Guards against a start time that is lost between the list and the module's clock.
+TEST_CASE("rule: a member that has just started is not sent all its keys at once") {
+  auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  Stage stage({}, Stage::Says(kOk), R"(,"since_ms":)" + std::to_string(now.count()));
+  for (int i = 0; i < 40; ++i) stage.Client(Get(std::to_string(1000 + i), "c=read,t=acme,d=600"));
+  stage.Until([&] {
+    return std::all_of(stage.clients.begin(), stage.clients.end(),
+                       [](const End& client) { return client.got.ends_with("\r\n"); });
+  });
+  CHECK(stage.member.Count("OBJ.GET") <= 4);
+}
+
+TEST_CASE("answers come in the order of the commands") {
+  End* first = nullptr;
+  Stage stage([&](End& end) {
+    if (end.got.find("1000") != std::string::npos) {
+      first = &end;
+    } else {
+      end.Say(Value("two"));
+    }
+  });
+  End& client = stage.Client(Get("1000", "c=read,d=2000") + Get("2000", "c=read,d=2000"));
+  stage.Until([&] { return first != nullptr && Outcomes(stage, Result::kGood) == 1; });
+  CHECK(client.got.empty());
+  first->Say(Value("one"));
+  stage.Until([&] { return client.got.size() >= 18; });
+  CHECK(client.got == "$3\r\none\r\n$3\r\ntwo\r\n");
+}
+
+TEST_CASE("a command in pieces is one command") {
+  Stage stage(Stage::Says(Value("x")));
+  End& client = stage.Client("");
+  for (std::size_t at = 0; at < kRead.size(); at += 7) {
+    client.Say(kRead.substr(at, 7));
+    stage.Until([turn = 0]() mutable { return ++turn > 1; });
+  }
+  stage.Until([&] { return client.got == "$1\r\nx\r\n"; });
+}
+
+TEST_CASE("malformed input gets the answers owed, one -ERR and a close") {
+  Stage stage(Stage::Says(Value("x")));
+  const struct {
+    std::string text, answer;
+  } cases[] = {
+      {"GARBAGE\r\n", "-ERR expected an array\r\n"},
+      {kRead + "GARBAGE\r\n" + kRead, "$1\r\nx\r\n-ERR expected an array\r\n"},
+      {"*2\r\n$99999\r\n", "-ERR bad bulk length\r\n"},
+      {Set(kKey, "c=keyed,d=9", std::string(resp::kMaxValue + 1, 'v')), "-ERR bad bulk length\r\n"},
+      {"*1\r\n" + Bulk("HELLO") + Get(kKey, "c=none,d=9") + "*1\r\n" + Bulk("QUIT"),
+       "-ERR unknown command\r\n-ERR unknown class\r\n+OK\r\n"},
+  };
+  for (const auto& one : cases) {
+    End& client = stage.Client(one.text);
+    stage.Until([&] { return client.closed; });
+    CHECK(client.got == one.answer);
+  }
+}
+
+TEST_CASE("a client that leaves is forgotten, and others are served") {
+  Stage stage([](End& end) {
+    if (end.got.find("2000") != std::string::npos) end.Say(Value("x"));
+  });
+  End& client = stage.Client(Get("1000", "c=read,d=900"));
+  stage.Until([&] { return stage.member.Count("1000") == 1; });
+  client.Hang();
+  stage.Until([&] { return stage.router.counters().transactions_gone == 1; });
+  CHECK(stage.Ask(Get("2000", "c=read,d=900")) == "$1\r\nx\r\n");
+  CHECK(stage.router.counters().rejected + stage.router.counters().failed == 0);
+}
+
+TEST_CASE("connections to members are used again, and one found stale is an outcome of its own") {
+  int times = 0;
+  Stage stage([&](End& end) { ++times < 3 ? end.Say(Value("x")) : end.Hang(); }, Stage::Says(kOk));
+  CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
+  CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
+  CHECK(stage.router.counters().dials == 1);
+  CHECK(stage.Ask(kRead) == kFrom);  // the module's choice; the flow itself was not sent again
+  CHECK(Outcomes(stage, Result::kReset) == 1);
+  CHECK(stage.member.Count("OBJ.GET") == 3);
+}
+
+TEST_CASE("malformed members and an unreachable one are outcomes") {
+  Stage stage(Stage::Says("+WHAT\r\n"), Stage::Says(kOk));
+  CHECK(stage.Ask(kRead) == kFrom);
+  CHECK(stage.router.counters().member_malformed == 1);
+  stage.member.Refuse();
+  CHECK(stage.Ask(kRead) == kFrom);
+  CHECK(Outcomes(stage, Result::kNoConn) == 1);
+}
+
+TEST_CASE("a watch that fails is opened again from the version held") {
+  Stage stage;
+  auto again = [&](const std::string& from) {
+    stage.Until([&] { return stage.discovery.ends.back().got.find(from) != std::string::npos; });
+  };
+  auto change = [&](int index) {
+    return Chunk(R"({"index":)" + std::to_string(index) + R"(,"snapshot":false,"endpoints":[]})");
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  stage.Until([&] { return stage.discovery.ends.size() == 1; });
+  again("from=41 ");
+  stage.discovery.ends.back().Say(head + change(43));
+  stage.Until([&] { return stage.router.counters().pool_changes == 1; });
+  stage.discovery.ends.back().Hang();
+  again("from=43 ");
+  stage.discovery.ends.back().Say(head + "1\r\n\n\r\n" + change(44) + Chunk("{broken"));
+  again("from=44 ");
+  stage.discovery.ends.back().Say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  stage.Until([&] { return stage.discovery.ends.size() == 4; });
+  CHECK(stage.router.counters().watch_failures == 3);
+}
+
+TEST_CASE("a member's address may change") {
+  Stage stage(Stage::Says(Value("old")));
+  Peer moved(stage.base.get(), Stage::Says(Value("new")));
+  CHECK(stage.Ask(kRead) == "$3\r\nold\r\n");
+  stage.Watched({R"({"index":42,"snapshot":false,"endpoints":[)" + Member("box-1", moved.port) + "]}"});
+  stage.Until([&] { return stage.router.counters().pool_changes == 1; });
+  CHECK(stage.Ask(kRead) == "$3\r\nnew\r\n");
+}
+
+// Guards against a full table of descriptors, which would keep members from being reached.
+TEST_CASE("many clients: the longest idle make room, and members can still be reached") {
+  Stage stage(Stage::Says(Value("x")), {}, "", 64);
+  for (int i = 0; i < 60; ++i) CHECK(stage.Ask("*1\r\n" + Bulk("PING")) == "+PONG\r\n");
+  CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
+  CHECK(stage.router.counters().clients_closed_for_room > 0);
+}
+
+// A planned restart: what comes meanwhile is served, what was taken is answered, then it ends.
+TEST_CASE("a stop loses nothing") {
+  End* waiting = nullptr;
+  Stage stage([&](End& end) {
+    if (end.got.find("1000") != std::string::npos) {
+      waiting = &end;
+    } else {
+      end.Say(Value("x"));
+    }
+  });
+  End& client = stage.Client(Get("1000", "c=read,d=2000"));
+  stage.Until([&] { return waiting != nullptr; });
+  bool ended = false;
+  stage.router.Stop([&] { ended = true; });
+  CHECK(stage.Ask(Get("2000", "c=read,d=2000")) == "$1\r\nx\r\n");
+  CHECK(!ended);
+  waiting->Say(Value("one"));
+  stage.Until([&] { return ended; });
+  CHECK(client.got == "$3\r\none\r\n");
+  CHECK(stage.router.counters().served == 2);
+  stage.Until([&] { return client.closed; });
+}
+
+}  // namespace
+}  // namespace peatbend::net::test
