Reject before half its time what no server has seen

Changed: what has not reached a server is held for 0.47 of its time at most. Also: a client that reads none of its answers for 30 s is closed, and accepting pauses for 20 ms where no descriptor can be had, so that the loop does not spin.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -54,6 +54,7 @@
 // Of the aim: wait for the own server before an alternate; then refused, if a late answer earns nothing;
 // usual latencies that a cache is given at least.
 constexpr double kHoldHome = 0.25, kHoldMost = 0.6, kTimeNeeded = 1.5;
+constexpr double kHoldUnsent = 0.47;  // of its time, what no server has seen is held at most
 // Origin's limit over all proxies: first, least; a proxy: first, least, most, paced sends at once; of the
 // aim, a latency not yet seen. Latency over its base that cuts, that lets it grow fast; base, an answer.
 constexpr double kOriginFirst = 64, kOriginLeast = 10, kOriginFew = 6, kOriginFewLeast = 2;
@@ -164,6 +165,7 @@
     int zone = 0, cell = 0;
     TimePoint sent{};
     bool open = true, may_have_run = true;
+    bool reached = true;  // false: ended before it came to its server
   };
   enum class State { kOut, kWaitsForFetch, kQueued };
   struct Request {
@@ -568,6 +570,12 @@
     // What would be sent too late to be answered is not sent: it would only time out.
     double needs = servers_[index].origin ? origin_base_ : kTimeNeeded * usual_;
     latest = std::min(latest, request.deadline - Nanos(needs));
+    // Nor does a client wait in vain for what no server has seen: it is told while it can still ask again.
+    bool unsent = std::none_of(request.attempts.begin(), request.attempts.end(),
+                               [](const Attempt& attempt) { return attempt.reached; });
+    if (unsent) {
+      latest = std::min(latest, request.arrived + Scale(request.deadline - request.arrived, kHoldUnsent));
+    }
     if (now_ >= latest) return End(request);
     bool cache = !servers_[index].origin && !request.waited;
     Hold(request, cache ? std::min(latest, now_ + Scale(cls.aim, kHoldHome)) : latest);
@@ -866,6 +874,7 @@
     if (event.attempt < 0 || event.attempt >= static_cast<int>(request.attempts.size())) return;
     Attempt& attempt = request.attempts[event.attempt];
     attempt.open = false;
+    attempt.reached = event.result != Result::kNoConn && event.result != Result::kNeverSent;
     attempt.may_have_run = event.result != Result::kFull && event.result != Result::kNoConn &&
                            event.result != Result::kNeverSent && event.result != Result::kMiss;
     bool at_origin = index >= 0 && servers_[index].origin;
--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -11,6 +11,8 @@
 namespace {
 // A client may run ahead of its answers so far; then it is not read until some have gone out.
 constexpr std::size_t kMaxOwed = 128, kMaxUnsent = 1024 * 1024;
+// A client that takes none of its answers for so long has gone without a word.
+constexpr timeval kUnread{30, 0};
 }  // namespace
 
 ClientSession::ClientSession(Listener& home, event_base* base, evutil_socket_t socket, Decision& decision,
@@ -24,6 +26,7 @@
   int yes = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
   bufferevent_setcb(socket_.get(), OnRead, OnWritten, OnEvent, this);
+  bufferevent_set_timeouts(socket_.get(), nullptr, &kUnread);
   bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
 }
 
@@ -151,7 +154,7 @@
   if (closing_ && owed_.empty()) {
     shutdown(bufferevent_getfd(socket_.get()), SHUT_WR);  // read on, lest a reset overtake the answer
     timeval soon{1, 0};
-    bufferevent_set_timeouts(socket_.get(), &soon, nullptr);
+    bufferevent_set_timeouts(socket_.get(), &soon, &soon);
     return;
   }
   if (end_when_idle_ && idle()) return Leave();
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -12,6 +12,7 @@
 constexpr int kBacklog = 511;
 // Of the sockets: so many stay for pool members and the origin however many clients come.
 constexpr std::size_t kForMembers = 3;  // one part in three
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 }  // namespace
 
 Listener::Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
@@ -22,7 +23,10 @@
       sockets_(sockets),
       log_(log),
       counters_(counters),
-      stopped_(base, [this] { then_(); }) {
+      stopped_(base, [this] { then_(); }),
+      accept_again_(base, [this] {
+        if (listener_) evconnlistener_enable(listener_.get());
+      }) {
   sockaddr_storage to{};
   int size = 0;
   ReadAddress(address, to, size);
@@ -37,7 +41,9 @@
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
     auto* listener = static_cast<Listener*>(self);
     listener->log_.Line("accept failed", std::strerror(errno));
-    listener->MakeRoom();
+    if (listener->MakeRoom()) return;
+    evconnlistener_disable(listener->listener_.get());  // or the loop would do nothing but try again
+    listener->accept_again_.Set(kAcceptPause);
   });
 }
 
@@ -62,13 +68,15 @@
 }
 
 // Closes the oldest session that is between requests: its client opens another when it needs one.
-void Listener::MakeRoom() {
+bool Listener::MakeRoom() {
   for (auto& session : sessions_) {
-    if (!session->idle() || session == sessions_.back()) continue;
+    if (!session->idle() || &session == &sessions_.back()) continue;  // the last one is about to ask
     ++counters_.clients_closed_for_room;
-    return End(*session);
+    End(*session);
+    return true;
   }
   log_.Line("clients crowded", std::to_string(sessions_.size()) + " sessions, none of them idle");
+  return false;
 }
 
 void Listener::End(ClientSession& session) {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -29,7 +29,7 @@
 
  private:
   void Accepted(evutil_socket_t socket);
-  void MakeRoom();
+  bool MakeRoom();
 
   event_base* base_;
   Decision& decision_;
@@ -39,7 +39,7 @@
   Counters& counters_;
   std::list<std::unique_ptr<ClientSession>> sessions_;  // the last accepted last
   std::function<void()> then_;
-  Timer stopped_;
+  Timer stopped_, accept_again_;
   ListenerPtr listener_;
 };
 
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -6,7 +6,7 @@
 namespace peatbend::net::resp {
 namespace {
 
-// RESP lengths: digits, or -1 for null. Anything else, "+5" and "007" alike in other tongues, is refused.
+// RESP lengths: digits, or -1 for null.
 bool ParseLength(std::string_view text, std::int64_t most, std::int64_t& value) {
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   return error == std::errc() && end == text.data() + text.size() && value >= -1 && value <= most;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -69,6 +69,24 @@
   EXPECT_NE(SentTo(proxy.Ask(1, 5)), "");  // the old list still serves
 }
 
+// Found on sockets, fleet seed 11: requests stood in a full server's queue until shortly before their deadline
+// and were then refused, without a server having seen them.
+TEST(Holding, WhatNoServerHasSeenIsRefusedBeforeHalfItsTime) {
+  Settings settings = BasicSettings();
+  settings.classes[kRead].late_share = 0.2;  // so that it is worth holding beyond the aim
+  Proxy proxy(settings);
+  proxy.List(Fleet(1));
+  for (unsigned id = 1; id <= 8; ++id) EXPECT_NE(SentTo(proxy.Ask(id, id)), "");
+  EXPECT_EQ(SentTo(proxy.Ask(9, 9)), "");  // no room: held
+  TimePoint asked = proxy.now;
+  std::vector<Refuse> refused;
+  while (refused.empty() && proxy.now < asked + 1s) refused = Only<Refuse>(proxy.Tick(5ms));
+  ASSERT_EQ(refused.size(), 1u);
+  EXPECT_EQ(refused[0].id, RequestId{9});
+  EXPECT_LT(proxy.now - asked, 500ms);
+  EXPECT_GT(proxy.now - asked, 400ms);
+}
+
 TEST(ColdServer, IsHandedItsKeysGradually) {
   Proxy proxy;
   auto list = Fleet(9);
