--- a/include/woodtide/balancer.h
+++ b/include/peatbend/balancer.h
@@ -1,4 +1,4 @@
-// woodtide: the decisions of a proxy that spreads keys over cache servers in front of a slow
+// peatbend: the decisions of a proxy that spreads keys over cache servers in front of a slow
 // origin.
 //
 // This file is the whole interface. A proxy makes one Balancer per instance from the start-up
@@ -24,7 +24,7 @@
 #include <variant>
 #include <vector>
 
-namespace woodtide {
+namespace peatbend {
 
 using Duration = std::chrono::nanoseconds;
 
@@ -231,4 +231,4 @@
   std::unique_ptr<Brain> brain_;
 };
 
-}  // namespace woodtide
+}  // namespace peatbend
--- a/src/brain.cpp
+++ b/src/balance.cpp
@@ -1,4 +1,4 @@
-// All of woodtide's decisions. The types, events and actions are in include/woodtide/balancer.h.
+// All of peatbend's decisions. The types, events and actions are in include/peatbend/balancer.h.
 // Its parts: membership, table, choice, cold servers, health, in-flight bounds, origin, attempts. A read goes
 // to the server in its key's slot of the Maglev table; every exception takes it to an alternate (Candidate).
 #include <algorithm>
@@ -10,9 +10,9 @@
 #include <stdexcept>
 #include <unordered_map>
 
-#include "woodtide/balancer.h"
+#include "peatbend/balancer.h"
 
-namespace woodtide {
+namespace peatbend {
 namespace {
 
 using std::chrono::milliseconds;
@@ -992,4 +992,4 @@
   brain_->Handle(now, event, actions);
 }
 
-}  // namespace woodtide
+}  // namespace peatbend
--- a/src/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <limits>
 
-namespace woodtide::wire {
+namespace peatbend::benchlink {
 namespace {
 
 constexpr std::uint64_t kMaxList = 15;           // list numbers run from 0 to this
@@ -456,4 +456,4 @@
   }
 }
 
-}  // namespace woodtide::wire
+}  // namespace peatbend::benchlink
--- a/src/wire.h
+++ b/src/benchlink/wire.h
@@ -1,4 +1,4 @@
-// The simulator's wire (WIRE-woodtide.md): text lines to events, actions to text lines. Translates,
+// The simulator's wire (WIRE-peatbend.md): text lines to events, actions to text lines. Translates,
 // never decides.
 #pragma once
 
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "woodtide/balancer.h"
+#include "peatbend/balancer.h"
 
-namespace woodtide::wire {
+namespace peatbend::benchlink {
 
 // A line that cannot be taken: says its number, what was expected and what was found.
 class WireError : public std::runtime_error {
@@ -55,4 +55,4 @@
   TimePoint now_{};
 };
 
-}  // namespace woodtide::wire
+}  // namespace peatbend::benchlink
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,9 +2,9 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include "woodtide/balancer.h"
+#include "peatbend/balancer.h"
 
-namespace woodtide {
+namespace peatbend {
 
 void CheckSettings(const Settings& s) {
   auto require = [](bool ok, const char* field) {
@@ -30,4 +30,4 @@
           "warm_after, tip_after, ask_every, answer_grace or tick");
 }
 
-}  // namespace woodtide
+}  // namespace peatbend
--- a/tests/consumer.cmake
+++ b/tests/consumer.cmake
@@ -1,4 +1,4 @@
-# Installs woodtide under the build folder and builds the small consumer project against it.
+# Installs peatbend under the build folder and builds the small consumer project against it.
 function(run)
   execute_process(COMMAND ${ARGN} RESULT_VARIABLE result)
   if(NOT result EQUAL 0)
