Reload on SIGHUP: read the file whole, move the watch to the discovery it names

Cause: main.cpp set no handler for SIGHUP; and Reader::String (config.cpp) took BALANCER_DISCOVERY before the file, so that a reload would never have seen another address. The file now goes before the variables, always. Checked: the list held serves until the new discovery has told its own; versions (index) start again at 0; a faulty file is logged by key and changes nothing (tests on sockets and on the program).

--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -61,12 +61,14 @@
   double worth = 1;
   double late_share = 0;  // fraction of the worth earned between aim and deadline
   bool stream = false;
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
   std::string name;
   double share = 0;
   double allowance_per_s = 0;  // over all proxies; 0: not stated
+  bool operator==(const TenantSettings&) const = default;
 };
 
 struct Settings {
@@ -102,6 +104,7 @@
   Duration tick{};                        // least time between batches
   Duration dial_timeout{};                // a connection not up by then could not be made; zero: not told
   std::vector<std::string> zones, kinds;  // by index, as entries of the list number them
+  bool operator==(const Settings&) const = default;
 };
 
 // Sets the field that a path such as "classes.0.deadline" names, in the units of the simulator's first
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -39,9 +39,9 @@
       : root_(root), variable_(variable) {}
 
   std::string String(const char* variable, const char* key, const char* otherwise) const {
-    if (const char* text = variable_(variable); text != nullptr && *text != '\0') return text;
     auto at = root_.find(key);
     if (at == root_.end() || at->is_null()) {
+      if (const char* text = variable_(variable); text != nullptr && *text != '\0') return text;
       if (otherwise != nullptr) return otherwise;
       throw ConfigError(std::string(key) + ": missing, and " + variable + " is not set");
     }
--- a/src/config.h
+++ b/src/config.h
@@ -1,5 +1,5 @@
-// The one place where the configuration is read, checked and given defaults: the environment, and the JSON
-// file that BALANCER_CONFIG names.
+// The one place where the configuration is read, checked and given defaults, at the start and on a reload:
+// the JSON file that BALANCER_CONFIG names, and the environment.
 #pragma once
 
 #include <functional>
@@ -28,7 +28,8 @@
   Settings settings;
 };
 
-// `text` is the file's; `variable` gives an environment variable or null. Variables go before the file.
+// `text` is the file's; `variable` gives an environment variable or null. What the file says goes before the
+// variables, at the start and on a reload alike: it can be replaced while the program runs, they cannot.
 Config ReadConfig(std::string_view text, const std::function<const char*(const char*)>& variable);
 // From this process's environment.
 Config LoadConfig();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-int Run() {
+// The configuration, with as many sockets as the system allows.
+peatbend::Config Load() {
   peatbend::Config config = peatbend::LoadConfig();
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
@@ -20,6 +21,11 @@
     setrlimit(RLIMIT_NOFILE, &files);
     config.sockets = std::min(config.sockets, static_cast<std::int64_t>(files.rlim_cur));
   }
+  return config;
+}
+
+int Run() {
+  peatbend::Config config = Load();
   std::signal(SIGPIPE, SIG_IGN);
 
   using namespace peatbend::net;
@@ -33,6 +39,7 @@
   auto stop = [&] { router.Stop([&] { event_base_loopbreak(base.get()); }); };
   Signal on_term(base.get(), SIGTERM, stop);
   Signal on_interrupt(base.get(), SIGINT, stop);
+  Signal on_hangup(base.get(), SIGHUP, [&] { router.Reload(Load); });
   Signal on_usr1(base.get(), SIGUSR1, [&] { router.PrintCounters(); });
   event_base_dispatch(base.get());
   router.PrintCounters();
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -37,6 +37,8 @@
   add("watches", c.watches);
   add("watch_failures", c.watch_failures);
   add("pool_changes", c.pool_changes);
+  add("reloads", c.reloads);
+  add("reloads_refused", c.reloads_refused);
   return text;
 }
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -39,6 +39,15 @@
   }
 }
 
+// Versions are one discovery's own: a number of the old one's, told to the new, could skip changes or wait
+// for one that never comes. So the whole list is asked for.
+void Pool::MoveTo(const std::string& address) {
+  ReadAddress(address, to_, to_size_);
+  address_ = address;
+  index_ = 0;
+  Watch();
+}
+
 void Pool::Read() {
   silence_.Set(kSilence);
   auto status = reader_->Read(bufferevent_get_input(socket_.get()));
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -25,6 +25,8 @@
 
   // Opens a watch on what changed after the list held; ends one that is open.
   void Watch();
+  // Watches there from now on. The list held stays until the new discovery has told its own.
+  void MoveTo(const std::string& address);
 
  private:
   static void OnRead(bufferevent*, void* self) { static_cast<Pool*>(self)->Read(); }
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -14,27 +14,57 @@
 }  // namespace
 
 Router::Router(event_base* base, const Config& config)
-    : settings_(config.settings),
+    : running_(config),
       log_(config.name, clock_),
       sockets_{static_cast<std::size_t>(config.sockets - kOtherDescriptors)},
-      connections_(base, settings_, sockets_, clock_, log_, counters_),
+      connections_(base, running_.settings, sockets_, clock_, log_, counters_),
       decision_(
-          base, settings_, config.seed, connections_, [this] { pool_.Watch(); }, clock_, log_, counters_),
-      pool_(base, config.discovery, settings_, config.known.index, log_, counters_,
+          base, running_.settings, config.seed, connections_, [this] { pool_.Watch(); }, clock_, log_,
+          counters_),
+      pool_(base, config.discovery, running_.settings, config.known.index, log_, counters_,
             [this](Scope scope, std::vector<PoolEntry> entries) {
               decision_.PoolNews(scope, std::move(entries));
             }),
-      listener_(base, config.listen, decision_, settings_, sockets_, log_, counters_),
+      listener_(base, config.listen, decision_, running_.settings, sockets_, log_, counters_),
       stop_listening_(base, [this] { listener_.Stop(then_); }),
       stop_at_last_(base, [this] { then_(); }) {
+  running_.known = {};  // read once, below; the list moves on without it
   decision_.PoolNews(Scope::kCached, config.known.entries);
   log_.Line("start", "listening on " + config.listen + ", " + std::to_string(config.known.entries.size()) +
                          " pool entries known");
 }
 
+void Router::Reload(const std::function<Config()>& load) {
+  if (stopping_) return;
+  Config config;
+  try {
+    config = load();
+  } catch (const std::exception& error) {  // the running configuration stays, whole
+    ++counters_.reloads_refused;
+    return log_.Line("reload refused", error.what());
+  }
+  ++counters_.reloads;
+  if (config.discovery == running_.discovery) {
+    log_.Line("reload", "discovery stays at " + config.discovery);
+  } else {
+    log_.Line("reload", "discovery is now at " + config.discovery);
+    running_.discovery = config.discovery;
+    pool_.MoveTo(config.discovery);
+  }
+  auto at_next_start = [this](bool differs, std::string_view key) {
+    if (differs) log_.Line("reload", std::string(key) + ": differs, holds from the next start");
+  };
+  at_next_start(config.name != running_.name, "name");
+  at_next_start(config.listen != running_.listen, "listen");
+  at_next_start(config.cores != running_.cores || config.memory_mb != running_.memory_mb ||
+                    config.sockets != running_.sockets,
+                "limits");
+  at_next_start(config.settings != running_.settings, "settings");
+}
+
 Duration Router::LongestDeadline() const {
   Duration longest{};
-  for (const ClassSettings& cls : settings_.classes) longest = std::max(longest, cls.deadline);
+  for (const ClassSettings& cls : running_.settings.classes) longest = std::max(longest, cls.deadline);
   return longest;
 }
 
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -22,6 +22,9 @@
 
   // Keeps serving what comes, finishes all that was taken, then calls `then`.
   void Stop(std::function<void()> then);
+  // Takes the configuration that `load` gives. A faulty one (load throws) changes nothing. Discovery is moved
+  // at once; what else differs is logged and holds from the next start.
+  void Reload(const std::function<Config()>& load);
   void PrintCounters() { log_.Line("counters", Describe(counters_)); }
   const Counters& counters() const { return counters_; }
   int port() const { return listener_.port(); }
@@ -29,7 +32,7 @@
  private:
   Duration LongestDeadline() const;
 
-  Settings settings_;
+  Config running_;
   Clock clock_;
   Counters counters_;
   Log log_;
--- a/tests/net/program.sh
+++ b/tests/net/program.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # The program itself, given as $1: a faulty configuration ends it with the key's name; a sound one starts it,
-# SIGUSR1 prints the counters, and SIGTERM ends it with 0 and the counters once more.
+# SIGUSR1 prints the counters, SIGHUP reads the file again, and SIGTERM ends it with 0 and the counters once more.
 set -eu
 program=$1
 folder=$(mktemp -d)
@@ -35,6 +35,12 @@
 await 'start: listening on' 1
 kill -USR1 "$pid"
 await 'counters: clients_accepted' 1
+echo '{"listen":"127.0.0.1:0","discovery":"nowhere",'"$settings}" >"$BALANCER_CONFIG"
+kill -HUP "$pid"
+await 'reload refused: discovery: ' 1
+echo '{"listen":"127.0.0.1:0","discovery":"127.0.0.1:10",'"$settings}" >"$BALANCER_CONFIG"
+kill -HUP "$pid"
+await 'reload: discovery is now at 127.0.0.1:10' 1
 kill -TERM "$pid"
 wait "$pid" || fail "the exit was not 0"
 grep -q 'stopping: 0 transactions open' "$folder/log" || fail "no word of the stop"
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -241,6 +241,33 @@
   CHECK(stage.Ask(kRead) == "$3\r\nnew\r\n");
 }
 
+// A reload moves the watch: the list held serves on until the new discovery, whose versions are its own, has
+// told the whole of its. A faulty configuration changes nothing.
+TEST_CASE("a reload moves the watch to another discovery, and a faulty one leaves it") {
+  Stage stage(Stage::Says(Value("old")));
+  Peer next(stage.base.get()), other(stage.base.get(), Stage::Says(Value("new")));
+  stage.Watched({R"({"index":70,"snapshot":false,"endpoints":[]})"});
+  stage.Until([&] { return stage.router.counters().pool_changes == 1; });
+  stage.router.Reload([]() -> Config { throw ConfigError("discovery: a string expected"); });
+  Config config = stage.Configured();
+  stage.router.Reload([&] { return config; });  // nothing differs
+  CHECK(stage.router.counters().watches == 1);
+  CHECK(!stage.discovery.ends.back().closed);
+  config.discovery = "127.0.0.1:" + std::to_string(next.port);
+  stage.router.Reload([&] { return config; });
+  stage.Until([&] { return next.Count("watch=1&from=0 ") == 1 && stage.discovery.ends.back().closed; });
+  CHECK(stage.Ask(kRead) == "$3\r\nold\r\n");
+  next.ends.back().Say(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      Chunk(R"({"index":3,"snapshot":true,"endpoints":[)" + Member("box-2", other.port) + "]}"));
+  stage.Until([&] { return stage.router.counters().pool_changes == 2; });
+  CHECK(stage.Ask(kRead) == "$3\r\nnew\r\n");
+  next.ends.back().Hang();  // and a watch that fails is opened again there
+  stage.Until([&] { return next.Count("watch=1&from=3 ") == 1; });
+  CHECK(stage.router.counters().reloads == 2);
+  CHECK(stage.router.counters().reloads_refused == 1);
+}
+
 // Guards against a full table of descriptors, which would keep members from being reached.
 TEST_CASE("many clients: the longest idle make room, and members can still be reached") {
   Stage stage(Stage::Says(Value("x")), {}, "", 64);
