Refuse heads that tell a body's end twice; rest member connections between requests

Checked with a probe that logged all bytes from members: of the origin's spoilt answers, those with two different Content-Length headers (22) and with a line that is no header (4) were served, cut or whole; all RESP ones were told. Lines at fault: ResponseReader::ReadHead (http1.cpp) took the first length and passed over lines without a colon. Confirmed besides by a test: an answer that ends where a read of the loop does leaves what follows unread, and a request waiting in the module went out at once on that connection and was given the stray copy. TakeIdle now asks the socket, and lets a connection rest 2 ms after an answer. An error line not in the protocol closes too.

--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -34,6 +34,7 @@
     add(std::string("flow_").append(kResults[i]), c.outcomes[i]);
   }
   add("member_malformed", c.member_malformed);
+  add("closed_as_stray", c.closed_as_stray);
   add("watches", c.watches);
   add("watch_failures", c.watch_failures);
   add("pool_changes", c.pool_changes);
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -40,6 +40,29 @@
   return "";
 }
 
+// Whether each line of the head is a header, and the headers that say where the body ends are told once.
+// Guards against an answer cut short: of two lengths either may be the wrong one (RFC 9112, 5.1 and 6.3). A
+// length that is repeated alike does no harm.
+bool ResponseReader::CheckHead() {
+  std::string_view rest = head_, length, coding;
+  while (!rest.empty()) {
+    std::size_t end = rest.find("\r\n");
+    std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 2);
+    std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) return false;
+    std::string_view name = line.substr(0, colon), value = Trim(line.substr(colon + 1));
+    if (std::any_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' ' || c >= 0x7f; }))
+      return false;
+    bool is_length = SameName(name, "content-length"), is_coding = SameName(name, "transfer-encoding");
+    if (!is_length && !is_coding) continue;
+    std::string_view& told = is_length ? length : coding;
+    if (value.empty() || (!told.empty() && (is_coding || told != value))) return false;
+    told = value;
+  }
+  return length.empty() || coding.empty();
+}
+
 ResponseReader::Status ResponseReader::ReadHead(evbuffer* in) {
   std::string_view text = Contents(in);
   std::size_t end = text.find("\r\n\r\n", scanned_);
@@ -60,6 +83,7 @@
   bool old = text[7] == '0';
   evbuffer_drain(in, end + 4);
   scanned_ = 0;
+  if (!CheckHead()) return Bad("bad headers");
   if (code < 200) {  // an interim answer: the real one follows
     head_.clear();
     return ReadHead(in);
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -26,7 +26,8 @@
   bool has_head() const { return part_ != Part::kHead; }
   int status() const { return status_; }
   bool keep_alive() const { return keep_alive_; }
-  // The value of a header that came once, as sent; empty if there was none. Name in lower case.
+  // The value of a header as sent, the first if there are several; empty if there is none. Name in lower
+  // case.
   std::string Header(std::string_view name) const;
   evbuffer* body() { return body_.get(); }
   std::string_view error() const { return error_; }
@@ -35,6 +36,7 @@
   enum class Part { kHead, kLength, kUntilEnd, kChunkSize, kChunk, kChunkEnd, kTrailer, kDone };
   Status Bad(std::string_view error);
   Status ReadHead(evbuffer* in);
+  bool CheckHead();
   Status ReadLine(evbuffer* in, std::string& line);
   bool Move(evbuffer* in);
 
--- a/src/net/member_codec.cpp
+++ b/src/net/member_codec.cpp
@@ -48,7 +48,10 @@
       std::string_view error = message.items[0].In(text);
       bool busy = error == "BUSY" || error.starts_with("BUSY ");
       reply.result = busy ? Result::kFull : Result::kBad;
-      if (!busy && !error.starts_with("ERR")) reply.complaint = "an error that the protocol does not name";
+      if (!busy && error != "ERR" && !error.starts_with("ERR ")) {
+        reusable_ = false;
+        reply.complaint = "an error that the protocol does not name";
+      }
     } else if (message.type == resp::Type::kArray && !message.null && message.items.size() == 3) {
       reply.note = ReadNote(message.items[1].In(text));
       reply.load = ParseLoadReport(message.items[2].In(text));
--- a/src/net/member_connections.cpp
+++ b/src/net/member_connections.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <cerrno>
 
 #include "net/server_side_flow.h"
 
@@ -12,6 +13,9 @@
 // Of the time after which a member closes an idle connection: closed here. The rest covers a request that
 // would otherwise cross the member's close and end as a reset.
 constexpr double kIdlePart = 0.8;
+// An answer's connection rests so long before the next request: what belongs to no answer comes right behind
+// one.
+constexpr Duration kSettle = std::chrono::milliseconds(2);
 constexpr Duration kDialDefault = std::chrono::seconds(1), kIdleDefault = std::chrono::seconds(10);
 }  // namespace
 
@@ -43,6 +47,13 @@
   codec_->Encode(request, limit, bufferevent_get_output(socket_.get()));
 }
 
+// Asks the socket, since the loop may not have got round to reading what is there.
+bool MemberConnection::Quiet() const {
+  char byte = 0;
+  return recv(bufferevent_getfd(socket_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool MemberConnection::written() const {
   return connected_ && evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
 }
@@ -53,10 +64,13 @@
 }
 
 void MemberConnection::Read() {
-  if (flow_ == nullptr) return Break();  // nobody asked
+  if (flow_ == nullptr) {  // nobody asked
+    ++home_.counters_.closed_as_stray;
+    return Break();
+  }
   if (auto reply = codec_->Read(bufferevent_get_input(socket_.get()))) {
-    bool keep =
-        codec_->reusable() && written() && evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0;
+    bool keep = codec_->reusable() && written() &&
+                evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0 && Quiet();
     Finish(std::move(*reply), keep);
   }
 }
@@ -131,9 +145,7 @@
   MemberConnection* connection = nullptr;
   ++counters_.flows;
   if (member.origin) ++counters_.flows_to_origin;
-  if (!member.idle.empty()) {
-    connection = member.idle.back();
-    member.idle.pop_back();
+  if ((connection = TakeIdle(member)) != nullptr) {
     ++counters_.reused;
   } else {
     if (!MakeRoom()) {
@@ -157,6 +169,24 @@
   return connection;
 }
 
+// The connection used last that has rested. Guards against bytes that belong to no answer (a second copy of
+// the last one, noise): they would be read as the answer to the next request. One on which any have come is
+// closed.
+MemberConnection* MemberConnections::TakeIdle(Member& member) {
+  TimePoint rested = clock_.Now() - kSettle;
+  for (std::size_t i = member.idle.size(); i-- > 0;) {
+    MemberConnection* connection = member.idle[i];
+    if (connection->idle_since_ > rested) continue;
+    if (connection->Quiet()) {
+      member.idle.erase(member.idle.begin() + static_cast<std::ptrdiff_t>(i));
+      return connection;
+    }
+    ++counters_.closed_as_stray;
+    Close(*connection);
+  }
+  return nullptr;
+}
+
 void MemberConnections::Idle(MemberConnection& connection) {
   if (connection.member_.gone) return Close(connection);
   Duration idle = settings_.keepalive > Duration::zero() ? settings_.keepalive : kIdleDefault;
--- a/src/net/member_connections.h
+++ b/src/net/member_connections.h
@@ -37,6 +37,8 @@
   void Begin(ServerSideFlow& flow, const Request& request, Duration limit);
   // The flow no longer waits: what comes for it must not be taken for another's answer, so this closes.
   void Abandon();
+  // Whether nothing has come on it since the last answer, nor the other end closed it.
+  bool Quiet() const;
   // Whether the request's last byte was handed to the socket. Queued here is not written.
   bool written() const;
 
@@ -86,6 +88,7 @@
   void Close(MemberConnection& connection);
   void Idle(MemberConnection& connection);
   bool MakeRoom();
+  MemberConnection* TakeIdle(Member& member);
   void DropIfGone(Member& member);
 
   event_base* base_;
--- a/src/net/origin.cpp
+++ b/src/net/origin.cpp
@@ -57,6 +57,7 @@
     } else if ((status == 503 || status == 504) && reader_->Header("x-unprocessed") == "1") {
       reply.result = Result::kFull;
     } else if (status < 500) {
+      whole_ = false;
       reply.complaint = "a status that the protocol does not name";
     }
     return reply;
--- a/src/net/server_codec.h
+++ b/src/net/server_codec.h
@@ -29,7 +29,7 @@
   virtual std::optional<FlowReply> Read(evbuffer* in) = 0;
   // The answer, if the connection's end completes it.
   virtual std::optional<FlowReply> ReadAtEnd() { return std::nullopt; }
-  // Whether another request may follow on the connection.
+  // Whether another request may follow on the connection: not after an answer that is malformed.
   virtual bool reusable() const = 0;
 };
 
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -174,8 +174,10 @@
   int times = 0;
   Stage stage([&](End& end) { ++times < 3 ? end.Say(Value("x")) : end.Hang(); }, Stage::Says(kOk));
   CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
+  stage.Rest();
   CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
   CHECK(stage.router.counters().dials == 1);
+  stage.Rest();
   CHECK(stage.Ask(kRead) == kFrom);  // the module's choice; the flow itself was not sent again
   CHECK(Outcomes(stage, Result::kReset) == 1);
   CHECK(stage.member.Count("OBJ.GET") == 3);
@@ -194,6 +196,7 @@
       Stage::Says(kOk));
   for (const char* key : {"1000", "2000"}) stage.Client(Get(key, "c=read,d=2000"));
   stage.Until([&] { return Outcomes(stage, Result::kGood) == 2; });
+  stage.Rest();
   CHECK(stage.Ask(Get("1000", "c=read,d=300")) == kFrom);
   CHECK(Outcomes(stage, Result::kLate) == 1);
   stage.Until([&] { return stage.member.ends.front().closed && stage.member.ends.back().closed; });
@@ -201,6 +204,28 @@
   CHECK(stage.member.Count("1000") + stage.member.Count("2000") == 3);
 }
 
+// A request that waits for a place at the member goes out the moment that an answer has come. What follows
+// that answer is then still unread: the answer ends where one read of the loop does.
+TEST_CASE("what follows an answer is not taken for the next request's") {
+  const std::string whole = Value(std::string(4096 - Value(std::string(4000, 'v')).size() + 4000, 'v'));
+  REQUIRE(whole.size() == 4096);
+  std::string last;
+  Stage stage([&](End& end) {
+    if (!last.empty() && end.got.find(last) != std::string::npos) end.Say(Value("own"));
+  });
+  for (int i = 1000; i < 1009; ++i) stage.Client(Get(std::to_string(i), "c=read,d=2000"));
+  stage.Until([&] { return stage.member.Count("OBJ.GET") == 8; });
+  auto client = stage.clients.begin();
+  for (int i = 1000; i < 1009; ++i) {
+    if (stage.member.Count("\r\n" + std::to_string(i) + "\r\n") > 0) continue;
+    last = "\r\n" + std::to_string(i) + "\r\n";
+    client = std::next(stage.clients.begin(), i - 1000);
+  }
+  stage.member.ends.front().Say(whole + Value("stray"));
+  stage.Until([&] { return client->got.ends_with("\r\n"); });
+  CHECK(client->got == "$3\r\nown\r\n");
+}
+
 TEST_CASE("malformed members and an unreachable one are outcomes") {
   Stage stage(Stage::Says("+WHAT\r\n"), Stage::Says(kOk));
   CHECK(stage.Ask(kRead) == kFrom);
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -147,6 +147,11 @@
       event_base_dispatch(base.get());
     }
   }
+  // Runs the loop for longer than a member's connection rests between requests.
+  void Rest() {
+    auto from = std::chrono::steady_clock::now();
+    Until([&] { return std::chrono::steady_clock::now() - from > std::chrono::milliseconds(8); });
+  }
   End& Client(const std::string& text) {
     clients.emplace_back(base.get(), -1);
     clients.back().Connect(router.port());
