Give each client connection one deadline, bound half-sent commands, refuse an open id

Lines at fault: ClientSession had no deadline but kUnread, and its closing time restarted with each read; MakeRoom closed the oldest accepted, usual clients first; Decision::Take did not look at the client's id; resp::Parser took 16 values of 64 KB, 1 MB a connection. Now: first command within 2.5 s of connecting, another within 2 s of its first byte, 2 s of reading on after -ERR, 3 s idle. Half-sent commands share an eighth of the memory. Room is made by those turned away, then silent ones.

--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -10,18 +10,28 @@
 namespace peatbend::net {
 namespace {
 // A client may run ahead of its answers so far; then it is not read until some have gone out.
-constexpr std::size_t kMaxOwed = 128, kMaxUnsent = 1024 * 1024;
+constexpr std::size_t kMaxOwed = 128, kMaxUnsent = 256 * 1024;
 // A client that takes none of its answers for so long has gone without a word.
 constexpr timeval kUnread{30, 0};
+// A client's first command is whole by then, counted from connecting; any other, from its first byte. It does
+// not matter how the bytes come: one that drips them has no more time than one that sends nothing.
+constexpr auto kFirstCommand = std::chrono::milliseconds(2500), kCommand = std::chrono::milliseconds(2000);
+// From its -ERR on, what a client still sends is read and dropped for so long, and no longer.
+constexpr auto kLinger = std::chrono::milliseconds(2000);
+// A client that owes and is owed nothing may be closed after 2 s.
+constexpr auto kIdle = std::chrono::milliseconds(3000);
 }  // namespace
 
 ClientSession::ClientSession(Listener& home, event_base* base, evutil_socket_t socket, Decision& decision,
-                             const Settings& settings, Log& log, Counters& counters)
+                             const Settings& settings, const Clock& clock, Log& log, Counters& counters)
     : home_(home),
       decision_(decision),
       settings_(settings),
+      clock_(clock),
       log_(log),
       counters_(counters),
+      connected_(clock.Now()),
+      quiet_since_(connected_),
       socket_(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE)) {
   int yes = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
@@ -31,6 +41,7 @@
 }
 
 ClientSession::~ClientSession() {
+  home_.Unread(unread_, 0);
   for (const Owed& owed : owed_) {
     if (owed.transaction && !owed.answer) decision_.ClientLeft(owed.id);
   }
@@ -59,7 +70,16 @@
     }
     if (!TakeCommand(Contents(in))) break;
   }
+  bool half = evbuffer_get_length(in) > 0 && !closing_ && !Crowded();
+  if (!half) begun_ = TimePoint::max();
+  if (half && begun_ == TimePoint::max()) begun_ = clock_.Now();
   Flush();
+  Account();
+}
+
+void ClientSession::Account() {
+  std::size_t now = half_sent() ? evbuffer_get_length(bufferevent_get_input(socket_.get())) : 0;
+  home_.Unread(std::exchange(unread_, now), now);
 }
 
 // False if there is no whole command.
@@ -78,11 +98,20 @@
   if (command.kind == Kind::kMalformed) return Malformed(command.complaint), false;
   evbuffer_drain(bufferevent_get_input(socket_.get()), parser_.message().size);
   parser_.Reset();
+  asked_ = true;
+  begun_ = TimePoint::max();
   switch (command.kind) {
     case Kind::kRequest: {
       std::uint64_t place = first_ + owed_.size();
+      auto id = decision_.Take(std::move(command.request), *this, place);
+      if (!id) {  // two requests under one id could be given each other's answers
+        ++counters_.ids_in_use;
+        log_.Line("id in use", "a request was answered -ERR");
+        Say("-ERR id in use\r\n");
+        break;
+      }
       owed_.emplace_back().transaction = true;
-      owed_.back().id = decision_.Take(std::move(command.request), *this, place);
+      owed_.back().id = *id;
       break;
     }
     case Kind::kPing:
@@ -115,6 +144,9 @@
   ++counters_.client_malformed;
   log_.Line("client malformed", complaint);
   closing_ = true;
+  begun_ = TimePoint::max();
+  evbuffer* in = bufferevent_get_input(socket_.get());
+  evbuffer_drain(in, evbuffer_get_length(in));
   Say(std::string("-ERR ").append(complaint).append("\r\n"));
 }
 
@@ -147,14 +179,14 @@
     bufferevent_write_buffer(socket_.get(), owed_.front().answer.get());
     owed_.pop_front();
     ++first_;
+    quiet_since_ = clock_.Now();
   }
 }
 
 void ClientSession::Written() {  // all that was to be written is
   if (closing_ && owed_.empty()) {
     shutdown(bufferevent_getfd(socket_.get()), SHUT_WR);  // read on, lest a reset overtake the answer
-    timeval soon{1, 0};
-    bufferevent_set_timeouts(socket_.get(), &soon, &soon);
+    turned_away_ = clock_.Now();
     return;
   }
   if (end_when_idle_ && idle()) return Leave();
@@ -169,6 +201,34 @@
          evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
 }
 
+TimePoint ClientSession::due() const {
+  if (turned_away_ != TimePoint::max()) return turned_away_ + kLinger;
+  if (closing_) return TimePoint::max();
+  if (!asked_) return connected_ + kFirstCommand;
+  if (half_sent()) return begun_ + kCommand;
+  return idle() ? quiet_since_ + kIdle : TimePoint::max();
+}
+
+void ClientSession::Overdue() {
+  if (turned_away_ != TimePoint::max() || !half_sent()) {
+    if (turned_away_ == TimePoint::max()) ++counters_.clients_closed_as_idle;
+    return Leave();
+  }
+  TurnAway("command not whole in time");
+}
+
+void ClientSession::TurnAway(std::string_view complaint) {
+  Malformed(complaint);
+  Flush();
+  Account();
+}
+
+ClientSession::Spare ClientSession::spare() const {
+  if (turned_away_ != TimePoint::max()) return Spare::kTurnedAway;
+  if (idle()) return asked_ ? Spare::kIdle : Spare::kSilent;
+  return half_sent() && owed_.empty() ? Spare::kHalfSent : Spare::kNeeded;
+}
+
 void ClientSession::EndWhenIdle() {
   end_when_idle_ = true;
   if (idle()) Leave();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -21,7 +21,7 @@
 class ClientSession : public AnswerSink {
  public:
   ClientSession(Listener& home, event_base* base, evutil_socket_t socket, Decision& decision,
-                const Settings& settings, Log& log, Counters& counters);
+                const Settings& settings, const Clock& clock, Log& log, Counters& counters);
   ~ClientSession() override;
 
   void Served(std::uint64_t place, evbuffer* value) override;
@@ -32,6 +32,18 @@
   bool idle() const;
   // Ends the session once it is idle.
   void EndWhenIdle();
+  // When it has had the time that it may take over what it is doing; max() while it waits for an answer.
+  TimePoint due() const;
+  // That time has come: a command that is not whole gets its -ERR, all else ends.
+  void Overdue();
+  // How readily it is closed to make room, the highest first; kNeeded: not at all.
+  enum class Spare { kNeeded, kHalfSent, kIdle, kSilent, kTurnedAway };
+  Spare spare() const;
+  TimePoint quiet_since() const { return quiet_since_; }
+  bool half_sent() const { return begun_ != TimePoint::max(); }
+  TimePoint begun() const { return begun_; }
+  // Answers what has come of a command with -ERR, after the answers owed, and takes no more.
+  void TurnAway(std::string_view complaint);
   // Where it stands among the sessions; the listener's.
   std::list<std::unique_ptr<ClientSession>>::iterator self;
 
@@ -47,6 +59,7 @@
   void Read();
   bool TakeCommand(std::string_view buffer);
   void Malformed(std::string_view complaint);
+  void Account();
   void Say(std::string_view answer);
   Owed& At(std::uint64_t place) { return owed_[place - first_]; }
   void Flush();
@@ -57,12 +70,18 @@
   Listener& home_;
   Decision& decision_;
   const Settings& settings_;
+  const Clock& clock_;
   Log& log_;
   Counters& counters_;
   resp::Parser parser_;
-  std::deque<Owed> owed_;    // answers owed, in the commands' order
-  std::uint64_t first_ = 0;  // place of the first of them
-  bool closing_ = false;     // no more is read; ends when all is written
+  std::deque<Owed> owed_;                     // answers owed, in the commands' order
+  std::uint64_t first_ = 0;                   // place of the first of them
+  bool closing_ = false;                      // no more is read; ends when all is written
+  bool asked_ = false;                        // a whole command has come
+  std::size_t unread_ = 0;                    // as last told to the listener
+  TimePoint connected_, quiet_since_;         // the latter: nothing owed since
+  TimePoint begun_ = TimePoint::max();        // a command that is not whole yet began to arrive; max: none
+  TimePoint turned_away_ = TimePoint::max();  // its -ERR was written
   bool end_when_idle_ = false;
   BuffereventPtr socket_;
 };
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -17,6 +17,8 @@
   add("clients_accepted", c.clients_accepted);
   add("clients_closed", c.clients_closed);
   add("clients_closed_for_room", c.clients_closed_for_room);
+  add("clients_closed_as_idle", c.clients_closed_as_idle);
+  add("ids_in_use", c.ids_in_use);
   add("client_malformed", c.client_malformed);
   add("pings", c.pings);
   add("unknown_commands", c.unknown_commands);
--- a/src/net/decision.cpp
+++ b/src/net/decision.cpp
@@ -40,11 +40,14 @@
 
 // ---- What happens, queued -------------------------------------------------------------------------
 
-RequestId Decision::Take(std::unique_ptr<Request> request, AnswerSink& client, std::uint64_t place) {
+std::optional<RequestId> Decision::Take(std::unique_ptr<Request> request, AnswerSink& client,
+                                        std::uint64_t place) {
+  if (open_ids_.contains(request->id)) return std::nullopt;
   do {
     ++last_id_;
   } while (transactions_.contains(RequestId{last_id_}));
   RequestId id{last_id_};
+  open_ids_[request->id] = id;
   TimePoint deadline = clock_.Now() + request->remaining;
   transactions_[id] =
       std::make_unique<Transaction>(id, std::move(request), client, place, deadline, counters_);
@@ -205,8 +208,10 @@
 
 void Decision::ForgetIfOver(RequestId id) {
   Transaction* transaction = Find(id);
-  if (transaction != nullptr && transaction->finished() && transaction->open_flows == 0)
-    transactions_.erase(id);
+  if (transaction == nullptr || !transaction->finished()) return;
+  auto open = open_ids_.find(transaction->request().id);
+  if (open != open_ids_.end() && open->second == id) open_ids_.erase(open);
+  if (transaction->open_flows == 0) transactions_.erase(id);
 }
 
 void Decision::ArmTimer() {
--- a/src/net/decision.h
+++ b/src/net/decision.h
@@ -9,8 +9,10 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -31,7 +33,8 @@
   Decision(event_base* base, const Settings& settings, std::uint64_t seed, MemberConnections& connections,
            std::function<void()> watch_pool, const Clock& clock, Log& log, Counters& counters);
 
-  RequestId Take(std::unique_ptr<Request> request, AnswerSink& client, std::uint64_t place);
+  // Nothing where a request under the same id is open.
+  std::optional<RequestId> Take(std::unique_ptr<Request> request, AnswerSink& client, std::uint64_t place);
   void ClientLeft(RequestId id);
   void PoolNews(Scope scope, std::vector<PoolEntry> entries);
   void FlowEnded(ServerSideFlow& flow, FlowReply reply) override;
@@ -95,6 +98,8 @@
   bool ready_ = false;
   std::uint32_t last_id_ = 0;
   std::unordered_map<RequestId, std::unique_ptr<Transaction>> transactions_;
+  // Ids of the clients' that wait for an answer; the views are into the transactions' requests.
+  std::unordered_map<std::string_view, RequestId> open_ids_;
   std::deque<Pending> pending_;
   std::vector<Action> actions_;
   using TimerEntry = std::pair<TimePoint, TimerMark>;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -13,20 +13,29 @@
 // Of the sockets: so many stay for pool members and the origin however many clients come.
 constexpr std::size_t kForMembers = 3;  // one part in three
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+constexpr auto kSweepEvery = std::chrono::milliseconds(100);
+// Silent for less than this, a session may be about to ask.
+constexpr auto kAboutToAsk = std::chrono::milliseconds(100);
 }  // namespace
 
 Listener::Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
-                   SocketBudget& sockets, Log& log, Counters& counters)
+                   SocketBudget& sockets, std::size_t most_unread, const Clock& clock, Log& log,
+                   Counters& counters)
     : base_(base),
       decision_(decision),
       settings_(settings),
       sockets_(sockets),
+      most_unread_(most_unread),
+      clock_(clock),
       log_(log),
       counters_(counters),
       stopped_(base, [this] { then_(); }),
-      accept_again_(base, [this] {
-        if (listener_) evconnlistener_enable(listener_.get());
-      }) {
+      accept_again_(base,
+                    [this] {
+                      if (listener_) evconnlistener_enable(listener_.get());
+                    }),
+      sweep_(base, [this] { Sweep(); }) {
+  sweep_.Set(kSweepEvery);
   sockaddr_storage to{};
   int size = 0;
   ReadAddress(address, to, size);
@@ -62,22 +71,60 @@
   ++counters_.clients_accepted;
   ++sockets_.held;
   sessions_.push_back(
-      std::make_unique<ClientSession>(*this, base_, socket, decision_, settings_, log_, counters_));
+      std::make_unique<ClientSession>(*this, base_, socket, decision_, settings_, clock_, log_, counters_));
   sessions_.back()->self = std::prev(sessions_.end());
   if (sessions_.size() > sockets_.most - sockets_.most / kForMembers || sockets_.held >= sockets_.most)
     MakeRoom();
 }
 
-// Closes the oldest session that is between requests: its client opens another when it needs one.
+// Closes the session that can best be spared: one that was turned away, has never asked, is between requests
+// (its client opens another when it needs one) or has not sent its command whole; of several the longest
+// quiet. Guards against strangers who connect by hundreds: they make room for each other before clients that
+// ask do.
 bool Listener::MakeRoom() {
+  ClientSession* best = nullptr;
+  TimePoint now = clock_.Now();
+  auto rank = [now](const ClientSession& session) {
+    auto spare = session.spare();
+    bool early = spare == ClientSession::Spare::kSilent && now - session.quiet_since() < kAboutToAsk;
+    return early ? ClientSession::Spare::kHalfSent : spare;
+  };
   for (auto& session : sessions_) {
-    if (!session->idle() || &session == &sessions_.back()) continue;  // the last one is about to ask
-    ++counters_.clients_closed_for_room;
-    End(*session);
-    return true;
+    if (&session == &sessions_.back() || session->spare() == ClientSession::Spare::kNeeded) continue;
+    bool better = best == nullptr || rank(*session) > rank(*best) ||
+                  (rank(*session) == rank(*best) && session->quiet_since() < best->quiet_since());
+    if (better) best = session.get();
   }
-  log_.Line("clients crowded", std::to_string(sessions_.size()) + " sessions, none of them idle");
-  return false;
+  if (best == nullptr) {
+    log_.Line("clients crowded", std::to_string(sessions_.size()) + " sessions, all with requests out");
+    return false;
+  }
+  ++counters_.clients_closed_for_room;
+  End(*best);
+  return true;
+}
+
+// Ends what has had its time.
+void Listener::Sweep() {
+  TimePoint now = clock_.Now();
+  for (auto at = sessions_.begin(); at != sessions_.end();) {
+    ClientSession& session = **at++;
+    if (session.due() <= now) session.Overdue();
+  }
+  sweep_.Set(kSweepEvery);
+}
+
+// Bounds the memory that commands which are not whole take together: past that the one begun first is turned
+// away.
+void Listener::Unread(std::size_t before, std::size_t now) {
+  unread_ += now - before;
+  if (now <= before || unread_ <= most_unread_) return;
+  ClientSession* first = nullptr;
+  for (auto& session : sessions_) {
+    if (session->half_sent() && (first == nullptr || session->begun() < first->begun()))
+      first = session.get();
+  }
+  if (first != nullptr) first->TurnAway("too much at once");
 }
 
 void Listener::End(ClientSession& session) {
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -46,6 +46,7 @@
     }
   }
   auto size = static_cast<std::size_t>(bulk_);
+  if (at_ + size + 2 > kMaxMessage) return Bad("message too long");
   if (buffer.size() < at_ + size + 2) return Status::kMore;
   if (buffer.substr(at_ + size, 2) != "\r\n") return Bad("bulk string not ended");
   message_.items.push_back({at_, size});
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -9,9 +9,10 @@
 
 namespace peatbend::net::resp {
 
-constexpr std::size_t kMaxValue = 64 * 1024;  // bytes of one bulk string
-constexpr std::size_t kMaxItems = 16;         // of an array
-constexpr std::size_t kMaxLine = 1024;        // of a simple string, error or length
+constexpr std::size_t kMaxValue = 64 * 1024;               // bytes of one bulk string
+constexpr std::size_t kMaxItems = 16;                      // of an array
+constexpr std::size_t kMaxMessage = kMaxValue + 8 * 1024;  // what a message may take in all
+constexpr std::size_t kMaxLine = 1024;                     // of a simple string, error or length
 
 struct Slice {
   std::size_t at = 0, size = 0;  // in the buffer, from the message's start
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -7,6 +7,8 @@
 // Descriptors that are no sockets of clients or members: standard streams, the loop's, the listener, the
 // watch.
 constexpr std::int64_t kOtherDescriptors = 16;
+// Of the memory: one part in so many for clients' commands that are not whole.
+constexpr std::size_t kMegabyte = 1024 * 1024, kForUnread = 8;
 // After SIGTERM connections still come for up to 0.4 s.
 constexpr auto kKeepListening = std::chrono::milliseconds(550);
 // Longest wait for what was taken after that, beyond the longest deadline.
@@ -25,7 +27,8 @@
             [this](Scope scope, std::vector<PoolEntry> entries) {
               decision_.PoolNews(scope, std::move(entries));
             }),
-      listener_(base, config.listen, decision_, running_.settings, sockets_, log_, counters_),
+      listener_(base, config.listen, decision_, running_.settings, sockets_,
+                static_cast<std::size_t>(config.memory_mb) * kMegabyte / kForUnread, clock_, log_, counters_),
       stop_listening_(base, [this] { listener_.Stop(then_); }),
       stop_at_last_(base, [this] { then_(); }) {
   running_.known = {};  // read once, below; the list moves on without it
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -61,6 +61,7 @@
       {"*1\r\n$1 \r\n", "bad: bad bulk length"},
       {"*1\r\n$1\r\nabc", "bad: bulk string not ended"},
       {"+" + std::string(2000, 'y'), "bad: line too long"},
+      {"*3\r\n$9000\r\n" + std::string(9000, 'y') + "\r\n$" + length + "\r\n", "bad: message too long"},
   };
   for (const auto& one : cases) {
     CAPTURE(one.text.substr(0, 60));
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -158,6 +158,59 @@
   }
 }
 
+// Guards against clients that hold a connection and memory for good: bytes that drip buy no time.
+TEST_CASE("a client has its time for a command, however the bytes drip, and an idle one is closed") {
+  Stage stage(Stage::Says(Value("x")));
+  End& silent = stage.Client("");
+  End& drips = stage.Client("*4\r\n");
+  End& half = stage.Client(kRead + kRead.substr(0, 30));
+  End& idle = stage.Client("*1\r\n" + Bulk("PING"));
+  End& goes_on = stage.Client("GARBAGE\r\n");
+  auto from = std::chrono::steady_clock::now();
+  stage.Until([&] {
+    if (!drips.closed) drips.Say("$");
+    if (!goes_on.closed) goes_on.Say("and more of it\r\n");
+    return drips.closed && silent.closed && half.closed && idle.closed && goes_on.closed;
+  });
+  CHECK(std::chrono::steady_clock::now() - from > std::chrono::seconds(2));
+  CHECK(silent.got == "");
+  CHECK(drips.got.starts_with("-ERR "));
+  CHECK(half.got == "$1\r\nx\r\n-ERR command not whole in time\r\n");
+  CHECK(idle.got == "+PONG\r\n");
+  CHECK(goes_on.got == "-ERR expected an array\r\n");
+  CHECK(stage.router.counters().clients_closed_as_idle == 2);
+}
+
+// Guards against answers given to the wrong one of two requests, and against a second copy at a member.
+TEST_CASE("an id that is open for another client is an error, and free again once it is answered") {
+  End* first = nullptr;
+  Stage stage([&](End& end) { first = &end; });
+  End& client = stage.Client(kRead);
+  stage.Until([&] { return first != nullptr; });
+  CHECK(stage.Ask(kRead) == "-ERR id in use\r\n");
+  first->Say(Value("x"));
+  stage.Until([&] { return client.got == "$1\r\nx\r\n"; });
+  CHECK(stage.member.Count("OBJ.GET") == 1);
+  End& again = stage.Client(kRead);
+  stage.Until([&] { return stage.member.Count("OBJ.GET") == 2; });
+  first->Say(Value("y"));
+  stage.Until([&] { return again.got == "$1\r\ny\r\n"; });
+}
+
+// Guards against memory that half-sent commands take, all together: 16 MB here allow for 2 MB of them.
+TEST_CASE("of many half-sent commands those begun first are turned away, and whole ones are served") {
+  Stage stage(Stage::Says(Value("x")), Stage::Says(kOk), "", 1024, 16);
+  const std::string big = Set("1000", "c=keyed,d=2000,k=1", std::string(resp::kMaxValue, 'v'));
+  for (int i = 0; i < 60; ++i) stage.Client(big.substr(0, 60000));
+  auto away = [&] {
+    return std::count_if(stage.clients.begin(), stage.clients.end(),
+                         [](const End& client) { return client.got == "-ERR too much at once\r\n"; });
+  };
+  stage.Until([&] { return away() >= 60 - 2 * 1024 * 1024 / 60000; });
+  CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
+  CHECK(stage.Ask(Set("2000", "c=keyed,d=2000,k=1", std::string(resp::kMaxValue, 'v'))) == kFrom);
+}
+
 TEST_CASE("a client that leaves is forgotten, and others are served") {
   Stage stage([](End& end) {
     if (end.got.find("2000") != std::string::npos) end.Say(Value("x"));
@@ -301,6 +354,22 @@
   CHECK(stage.router.counters().clients_closed_for_room > 0);
 }
 
+// Guards against strangers who connect by hundreds and say nothing, or half a command.
+TEST_CASE("silent clients make room for each other before those that ask do") {
+  Stage stage(Stage::Says(Value("x")), {}, "", 64);
+  End& usual = stage.Client(kRead);
+  stage.Until([&] { return usual.got == "$1\r\nx\r\n"; });
+  for (int i = 0; i < 30; ++i) stage.Client(i % 2 == 0 ? "" : "*4\r\n");
+  stage.Until([&] { return stage.router.counters().clients_accepted == 31; });
+  auto from = std::chrono::steady_clock::now();
+  stage.Until([&] { return std::chrono::steady_clock::now() - from > std::chrono::milliseconds(150); });
+  for (int i = 0; i < 12; ++i) stage.Client("");
+  stage.Until([&] { return stage.router.counters().clients_accepted == 43; });
+  CHECK(stage.router.counters().clients_closed_for_room > 0);
+  CHECK(!usual.closed);
+  CHECK(stage.Ask(kRead) == "$1\r\nx\r\n");
+}
+
 // A planned restart: what comes meanwhile is served, what was taken is answered, then it ends.
 TEST_CASE("a stop loses nothing") {
   End* waiting = nullptr;
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -112,15 +112,19 @@
 inline std::string Bulk(const std::string& text) {
   return "$" + std::to_string(text.size()) + "\r\n" + text + "\r\n";
 }
+const char kKey[] = "7f3a9c21e0b4d655";
+// A request's id, its own for each key.
+inline std::string Id(const std::string& key) {
+  return key == kKey ? "9b1f03aa5c7e2d41" : "i" + std::string(key.rbegin(), key.rend());
+}
 inline std::string Get(const std::string& key, const std::string& facts) {
-  return "*4\r\n" + Bulk("OBJ.GET") + Bulk(key) + Bulk("9b1f03aa5c7e2d41") + Bulk(facts);
+  return "*4\r\n" + Bulk("OBJ.GET") + Bulk(key) + Bulk(Id(key)) + Bulk(facts);
 }
 inline std::string Set(const std::string& key, const std::string& facts, const std::string& value) {
-  return "*5\r\n" + Bulk("OBJ.SET") + Bulk(key) + Bulk("9b1f03aa5c7e2d41") + Bulk(facts) + Bulk(value);
+  return "*5\r\n" + Bulk("OBJ.SET") + Bulk(key) + Bulk(Id(key)) + Bulk(facts) + Bulk(value);
 }
 inline std::string Value(const std::string& text) { return "*3\r\n" + Bulk(text) + "$3\r\nhit\r\n$-1\r\n"; }
 const char kMiss[] = "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
-const char kKey[] = "7f3a9c21e0b4d655";
 
 class Stage {
  public:
@@ -131,11 +135,11 @@
 
   // `more`: further fields of the member in the list that the router starts from.
   explicit Stage(Answer member_answers = {}, Answer origin_answers = {}, const std::string& more = "",
-                 int sockets = 1024)
+                 int sockets = 1024, int memory_mb = 192)
       : member(base.get(), member_answers),
         origin(base.get(), origin_answers),
         discovery(base.get()),
-        router(base.get(), Configured(more, sockets)) {}
+        router(base.get(), Configured(more, sockets, memory_mb)) {}
 
   // Runs the loop until it holds.
   void Until(const std::function<bool()>& holds) {
@@ -174,10 +178,11 @@
   }
 
   // The configuration that the router was started with.
-  Config Configured(const std::string& more = "", int sockets = 1024) const {
+  Config Configured(const std::string& more = "", int sockets = 1024, int memory_mb = 192) const {
     std::string text = R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" +
                        std::to_string(discovery.port) + R"(","seed":"7","limits":{"sockets":)" +
-                       std::to_string(sockets) + R"(},"known":{"index":41,"snapshot":true,"endpoints":[)" +
+                       std::to_string(sockets) + R"(,"memory_mb":)" + std::to_string(memory_mb) +
+                       R"(},"known":{"index":41,"snapshot":true,"endpoints":[)" +
                        Member("box-1", member.port, more) + "," + Member("origin", origin.port) +
                        R"(]},"settings":{
         "classes":[
