Judge a server's latency by its own zone's servers, not by the fleet's

Checked with a probe that printed each second what the module believes: near servers 13 to 18 ms, bound 3 to 4; all far ones 36 to 65 ms, bound 1, a queue, left alone and ejected in turn. Ruled out: refusals for the origin or the retry budget (under 300 of them), and the sockets (first attempt out within 0.2 ms where nothing was held). Lines at fault: UnloadedLatency (balance.cpp) took the median over all zones, so that 30 ms of way between the data centres counted as overdrive (kSlowMultiple, kRestMultiple).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -396,10 +396,10 @@
       if (hold_for < 0) hold_for = index;
       if (!HasRoom(server)) continue;
       double fill = server.in_flight / server.limit;
-      if (!hot || Sparse() || fill < kHotRoom) return SendTo(request, index, CacheTime(request));
+      if (!hot || Sparse() || fill < kHotRoom) return SendTo(request, index, CacheTime(request, index));
       if (best < 0 || fill < best_fill) std::tie(best, best_fill) = std::tie(index, fill);
     }
-    if (best >= 0) return SendTo(request, best, CacheTime(request));
+    if (best >= 0) return SendTo(request, best, CacheTime(request, best));
     if (hold_for >= 0) return Enqueue(request, hold_for);
     set_.aside ? AskOrigin(request) : End(request);
   }
@@ -415,11 +415,11 @@
   }
 
   // How long a cache may take: half of what is left, where that is enough and another try possible.
-  Duration CacheTime(const Request& request) const {
+  Duration CacheTime(const Request& request, int index) const {
     Duration left = request.deadline - now_;
     bool again = set_.classes[request.cls].effect == Effect::kSafe &&
                  static_cast<int>(request.attempts.size()) + 1 < set_.try_limit;
-    return !Sparse() && again && left / 2 >= Nanos(kTimeNeeded * usual_) ? left / 2 : left;
+    return !Sparse() && again && left / 2 >= Nanos(kTimeNeeded * Usually(servers_[index])) ? left / 2 : left;
   }
 
   // ---- 4. Cold servers (slow start) -------------------------------------------------------------
@@ -471,7 +471,7 @@
     if (!Sparse()) Eject(server);  // then a half-open trial
     server.trial_at = server.rests_until;
     resting_.push_back(server.rests_until);
-    server.latency = unloaded_;
+    server.latency = Unloaded(server);
     server.limit = 1;
   }
 
@@ -544,18 +544,34 @@
     server.limit = std::max(server.origin ? OriginLeast() : LeastLimit(), server.limit * by);
   }
 
-  // The latency of a fleet without queues: the least that the servers' median has been, creeping up.
-  double UnloadedLatency() {
-    if (now_ - usual_at_ < kCutApart && unloaded_ > 0) return unloaded_;
+  // The median latency of a zone's servers, and what it is without queues: the least that it has been,
+  // creeping up. Zone by zone, for the way to another one is no sign of load: measured by the near servers,
+  // each far one would look overdriven for good.
+  struct Latency {
+    double usual = 0, unloaded = 0;
+    TimePoint at{};
+  };
+  void RefreshLatency(const Server& of) {
+    Latency& zone = zones_[of.zone];
+    if (now_ - zone.at < kCutApart && zone.unloaded > 0) return;
     std::vector<double> all;
     for (int index : ready_) {
-      if (servers_[index].latency > 0) all.push_back(servers_[index].latency);
+      const Server& server = servers_[index];
+      if (server.zone == of.zone && server.latency > 0) all.push_back(server.latency);
     }
-    if (all.empty()) return unloaded_;
+    if (all.empty()) return;
     std::nth_element(all.begin(), all.begin() + all.size() / 2, all.end());
-    usual_at_ = now_;
-    usual_ = all[all.size() / 2];
-    return unloaded_ = unloaded_ > 0 ? std::min(unloaded_ * 1.001, usual_) : usual_;
+    zone.at = now_;
+    zone.usual = all[all.size() / 2];
+    zone.unloaded = zone.unloaded > 0 ? std::min(zone.unloaded * 1.001, zone.usual) : zone.usual;
+  }
+  double Usually(const Server& server) const {
+    auto at = zones_.find(server.zone);
+    return at == zones_.end() ? 0 : at->second.usual;
+  }
+  double Unloaded(const Server& server) const {
+    auto at = zones_.find(server.zone);
+    return at == zones_.end() ? 0 : at->second.unloaded;
   }
 
   bool HasRoom(const Server& server) const {
@@ -568,7 +584,7 @@
     TimePoint latest = request.deadline - 2 * set_.tick;
     if (cls.late_share <= 0) latest = std::min(latest, request.arrived + Scale(cls.aim, kHoldMost));
     // What would be sent too late to be answered is not sent: it would only time out.
-    double needs = servers_[index].origin ? origin_base_ : kTimeNeeded * usual_;
+    double needs = servers_[index].origin ? origin_base_ : kTimeNeeded * Usually(servers_[index]);
     latest = std::min(latest, request.deadline - Nanos(needs));
     // Nor does a client wait in vain for what no server has seen: it is told while it can still ask again.
     bool unsent = std::none_of(request.attempts.begin(), request.attempts.end(),
@@ -608,7 +624,9 @@
       bool origin = servers_[index].origin;
       bool usable = !origin && Usable(request, index, Hash(request));
       request.waited = request.waited || !usable;
-      usable ? SendTo(request, index, CacheTime(request)) : origin ? AskOrigin(request) : ToCache(request);
+      usable   ? SendTo(request, index, CacheTime(request, index))
+      : origin ? AskOrigin(request)
+               : ToCache(request);
     }
   }
 
@@ -634,17 +652,18 @@
         server.ejected = server.trial_out = false;
         if (server.origin) return ObserveOrigin(server, was_full);
         answered_.Add(now_, kRateTime, 1);
-        if (unloaded_ > 0 && elapsed > kSlowTold * unloaded_) TellTrouble(server);
-        if (server.latency > kSlowMultiple * UnloadedLatency() ||
-            event.load.queued.value_or(0) > kQueueMost) {
+        if (Unloaded(server) > 0 && elapsed > kSlowTold * Unloaded(server)) TellTrouble(server);
+        RefreshLatency(server);
+        if (server.latency > kSlowMultiple * Unloaded(server) || event.load.queued.value_or(0) > kQueueMost) {
           Cut(server, 0.85);
-          if (server.latency > kRestMultiple * unloaded_ && server.limit <= LeastLimit()) LeaveAlone(server);
+          if (server.latency > kRestMultiple * Unloaded(server) && server.limit <= LeastLimit())
+            LeaveAlone(server);
         } else if (was_full) {
           server.limit = std::min(kMostLimit, server.limit + (server.limit < 1 ? 0.25 : 1 / server.limit));
         }
         return;
       case Result::kFull:
-        server.not_before = now_ + std::max(kFullPause, Nanos(0.5 * usual_));
+        server.not_before = now_ + std::max(kFullPause, Nanos(0.5 * Usually(server)));
         Cut(server, 0.7);
         server.trial_out = false;
         return;
@@ -978,10 +997,10 @@
   std::vector<Fading> tenants_{set_.tenants.size()};
   std::vector<int> tried_;
   std::uint64_t sequence_ = 0, mark_ = 0, tables_built_ = 0;
-  double origin_base_ = 0, usual_ = 0, unloaded_ = 0;
+  double origin_base_ = 0;
   double retry_most_ = std::clamp(kRetryMost / set_.proxies, kRetryLow, kRetryHigh),
          retry_budget_ = retry_most_;
-  TimePoint usual_at_{};
+  std::map<int, Latency> zones_;
 
   using Due = std::pair<TimePoint, RequestId>;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -225,6 +225,35 @@
   EXPECT_GT(last_used, proxy.now - 15s);  // but is used again
 }
 
+// Found on sockets, churn: measured by the near servers, each one beyond the 30 ms to the other zone counted
+// as overdriven: its bound stood at the least, it was left alone again and again, and what waited for it was
+// refused.
+TEST(Health, AServerIsNotHeldSlowForTheWayToItsZone) {
+  Proxy proxy;
+  std::vector<ServerEntry> fleet = Fleet(6);
+  for (std::size_t i = 0; i < fleet.size(); ++i) fleet[i].zone = static_cast<int>(i % 2);
+  proxy.List(fleet);
+  auto zone_of = [&](const std::string& name) {
+    for (const ServerEntry& entry : fleet) {
+      if (entry.id.name == name) return entry.zone;
+    }
+    return -1;
+  };
+  std::map<int, int> used;
+  for (unsigned id = 0; id < 600; ++id) {
+    proxy.now += 20ms;
+    std::string server = SentTo(proxy.Ask(id, id % 60));
+    if (id >= 300) ++used[zone_of(server)];
+    proxy.Answer(id, Result::kGood, zone_of(server) == 1 ? 60ms : 12ms);
+  }
+  EXPECT_GT(used[1], 100);
+  for (const Action& action : proxy.all) EXPECT_EQ(std::get_if<Log>(&action), nullptr);
+  // Many at once: the bound of the far ones has grown as that of the near ones has.
+  std::map<int, int> sent;
+  for (unsigned id = 1000; id < 1060; ++id) ++sent[zone_of(SentTo(proxy.Ask(id, id)))];
+  EXPECT_GT(sent[1], 9);
+}
+
 TEST(Health, MostServersFailingIsDistrusted) {
   Proxy proxy;
   proxy.List(Fleet(5));
