--- a/src/net/client_session.cpp
+++ b/src/net/client_session.cpp
@@ -19,7 +19,7 @@
 // From its -ERR on, what a client still sends is read and dropped for so long, and no longer.
 constexpr auto kLinger = std::chrono::milliseconds(2000);
 // A client that owes and is owed nothing may be closed after 2 s.
-constexpr auto kIdle = std::chrono::milliseconds(3000);
+constexpr auto kIdle = std::chrono::milliseconds(2050);
 }  // namespace
 
 ClientSession::ClientSession(Listener& home, event_base* base, evutil_socket_t socket, Decision& decision,
