In a crowd, close clients that ask nothing within 0.3 s

Line at fault: a silent client had 2.5 s however full it was (kFirstCommand). Ruled out: unread requests on connections closed for room.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t kForMembers = 3;  // one part in three
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 constexpr auto kSweepEvery = std::chrono::milliseconds(100);
+// From one part in so many of the sockets on, clients that have asked nothing have only so long: what is in
+// front of the routers may let in no more than these, and usual clients would be turned away there.
+constexpr std::size_t kCrowdedFrom = 3;
+constexpr auto kSilentInCrowd = std::chrono::milliseconds(300);
 // Silent for less than this, a session may be about to ask.
 constexpr auto kAboutToAsk = std::chrono::milliseconds(100);
 }  // namespace
@@ -109,7 +113,14 @@
   TimePoint now = clock_.Now();
   for (auto at = sessions_.begin(); at != sessions_.end();) {
     ClientSession& session = **at++;
-    if (session.due() <= now) session.Overdue();
+    if (session.due() <= now) {
+      session.Overdue();
+    } else if (sessions_.size() > sockets_.most / kCrowdedFrom &&
+               now - session.quiet_since() > kSilentInCrowd &&
+               session.spare() == ClientSession::Spare::kSilent) {
+      ++counters_.clients_closed_for_room;
+      End(session);
+    }
   }
   sweep_.Set(kSweepEvery);
 }
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -354,6 +354,15 @@
   CHECK(stage.router.counters().clients_closed_for_room > 0);
 }
 
+TEST_CASE("in a crowd a client that asks nothing is closed soon, though there is room") {
+  Stage stage(Stage::Says(Value("x")), {}, "", 64);
+  End& usual = stage.Client(kRead);
+  stage.Until([&] { return usual.got == "$1\r\nx\r\n"; });
+  for (int i = 0; i < 20; ++i) stage.Client("");
+  stage.Until([&] { return stage.router.counters().clients_closed_for_room >= 5; });
+  CHECK(!usual.closed);
+}
+
 // Guards against strangers who connect by hundreds and say nothing, or half a command.
 TEST_CASE("silent clients make room for each other before those that ask do") {
   Stage stage(Stage::Says(Value("x")), {}, "", 64);
