Lay the router out in packages by concern; dependencies run one way

Need: src/net was one flat folder of 36 files; nothing said where a change belongs, and two arrows ran back (client session to listener, member connection to flow).

Change: nine packages under src/, in the order base, module, protocol, pool, config, member, stage, front, router. SessionHome and Attempt are interfaces of the lower package. The list of names and values moved from the client codec to protocol/facts. A test (layers) reads the include lines and fails on an arrow that runs back. No behaviour is changed.

--- a/src/net/counters.cpp
+++ b/src/base/counters.cpp
@@ -1,4 +1,4 @@
-#include "net/counters.h"
+#include "base/counters.h"
 
 #include <iterator>
 #include <string_view>
--- a/src/net/log.cpp
+++ b/src/base/log.cpp
@@ -1,4 +1,4 @@
-#include "net/log.h"
+#include "base/log.h"
 
 #include <cstdio>
 
--- a/src/net/log.h
+++ b/src/base/log.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/clock.h"
+#include "base/clock.h"
 
 namespace peatbend::net {
 
--- /dev/null
+++ b/src/base/socket_budget.h
@@ -0,0 +1,13 @@
+// How many sockets the program may hold, and holds: clients' and pool members' together.
+#pragma once
+
+#include <cstddef>
+
+namespace peatbend::net {
+
+struct SocketBudget {
+  std::size_t most = 1024;
+  std::size_t held = 0;
+};
+
+}  // namespace peatbend::net
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <limits>
 
-#include "text.h"
+#include "base/text.h"
 
 namespace peatbend::benchlink {
 namespace {
--- a/src/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "config.h"
+#include "config/config.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -6,7 +6,7 @@
 #include <random>
 #include <sstream>
 
-#include "text.h"
+#include "base/text.h"
 
 namespace peatbend {
 namespace {
--- a/src/config.h
+++ b/src/config/config.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "net/pool_list.h"
 #include "peatbend/balancer.h"
+#include "pool/pool_list.h"
 
 namespace peatbend {
 
--- a/src/net/client_command.cpp
+++ b/src/front/client_command.cpp
@@ -1,8 +1,9 @@
-#include "net/client_command.h"
+#include "front/client_command.h"
 
 #include <algorithm>
 
-#include "text.h"
+#include "base/text.h"
+#include "protocol/facts.h"
 
 namespace peatbend::net {
 namespace {
@@ -25,40 +26,8 @@
   return {ClientCommand::Kind::kMalformed, nullptr, complaint};
 }
 
-// Calls `each` with every name=value part and where it starts.
-template <typename F>
-void ForEachFact(std::string_view facts, F each) {
-  for (std::size_t at = 0; at < facts.size();) {
-    std::size_t end = std::min(facts.find(',', at), facts.size());
-    std::string_view part = facts.substr(at, end - at);
-    std::size_t equals = std::min(part.find('='), part.size());
-    each(part.substr(0, equals), part.substr(std::min(equals + 1, part.size())), at);
-    at = end + 1;
-  }
-}
-
 }  // namespace
 
-bool FindFact(std::string_view facts, std::string_view name, std::string_view& value) {
-  bool found = false;
-  ForEachFact(facts, [&](std::string_view n, std::string_view v, std::size_t) {
-    if (n != name || found) return;
-    value = v;
-    found = true;
-  });
-  return found;
-}
-
-std::string WithLimit(std::string_view facts, Duration limit) {
-  auto ms = std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
-  std::string text, number = std::to_string(ms);
-  std::string_view old;
-  if (!FindFact(facts, "d", old))
-    return text.append(facts).append(facts.empty() ? "d=" : ",d=").append(number);
-  auto at = static_cast<std::size_t>(old.data() - facts.data());
-  return text.append(facts.substr(0, at)).append(number).append(facts.substr(at + old.size()));
-}
-
 ClientCommand ReadCommand(const resp::Message& message, std::string_view buffer, const Settings& settings) {
   if (message.type != resp::Type::kArray || message.null || message.items.empty()) {
     return Malformed("expected a command");
--- a/src/net/client_command.h
+++ b/src/front/client_command.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
-#include "net/request.h"
-#include "net/resp.h"
+#include "protocol/request.h"
+#include "protocol/resp.h"
 
 namespace peatbend::net {
 
@@ -20,11 +20,6 @@
 // `message` is a whole one, `buffer` the bytes it was read from.
 ClientCommand ReadCommand(const resp::Message& message, std::string_view buffer, const Settings& settings);
 
-// The value of `name` in a list such as "c=read,t=acme"; false if it is not there.
-bool FindFact(std::string_view facts, std::string_view name, std::string_view& value);
-// The list with d set to this many milliseconds, all else byte for byte as it was.
-std::string WithLimit(std::string_view facts, Duration limit);
-
 void AppendServed(evbuffer* out, evbuffer* value);
 void AppendRejected(evbuffer* out, Duration come_back);
 
--- a/src/net/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -1,12 +1,10 @@
-#include "net/client_session.h"
+#include "front/client_session.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <utility>
 
-#include "net/listener.h"
-
 namespace peatbend::net {
 namespace {
 // A client may run ahead of its answers so far; then it is not read until some have gone out.
@@ -22,7 +20,7 @@
 constexpr auto kIdle = std::chrono::milliseconds(2050);
 }  // namespace
 
-ClientSession::ClientSession(Listener& home, event_base* base, evutil_socket_t socket, Decision& decision,
+ClientSession::ClientSession(SessionHome& home, event_base* base, evutil_socket_t socket, Decision& decision,
                              const Settings& settings, const Clock& clock, Log& log, Counters& counters)
     : home_(home),
       decision_(decision),
--- a/src/net/client_session.h
+++ b/src/front/client_session.h
@@ -6,21 +6,31 @@
 #include <memory>
 #include <string_view>
 
-#include "net/client_command.h"
-#include "net/counters.h"
-#include "net/decision.h"
-#include "net/event_handles.h"
-#include "net/log.h"
-#include "net/request.h"
-#include "net/resp.h"
+#include "base/counters.h"
+#include "base/event_handles.h"
+#include "base/log.h"
+#include "front/client_command.h"
+#include "protocol/request.h"
+#include "protocol/resp.h"
+#include "stage/decision.h"
 
 namespace peatbend::net {
 
-class Listener;
+class ClientSession;
+
+// What a session needs of the place that holds it.
+class SessionHome {
+ public:
+  virtual ~SessionHome() = default;
+  // Destroys the session.
+  virtual void End(ClientSession& session) = 0;
+  // A session holds so many bytes of a command that is not whole, after so many before.
+  virtual void Unread(std::size_t before, std::size_t now) = 0;
+};
 
 class ClientSession : public AnswerSink {
  public:
-  ClientSession(Listener& home, event_base* base, evutil_socket_t socket, Decision& decision,
+  ClientSession(SessionHome& home, event_base* base, evutil_socket_t socket, Decision& decision,
                 const Settings& settings, const Clock& clock, Log& log, Counters& counters);
   ~ClientSession() override;
 
@@ -67,7 +77,7 @@
   bool Crowded() const;
   void Leave();
 
-  Listener& home_;
+  SessionHome& home_;
   Decision& decision_;
   const Settings& settings_;
   const Clock& clock_;
--- a/src/net/listener.cpp
+++ b/src/front/listener.cpp
@@ -1,4 +1,4 @@
-#include "net/listener.h"
+#include "front/listener.h"
 
 #include <netinet/in.h>
 #include <unistd.h>
--- a/src/net/listener.h
+++ b/src/front/listener.h
@@ -6,24 +6,23 @@
 #include <memory>
 #include <string>
 
-#include "net/client_session.h"
-#include "net/counters.h"
-#include "net/decision.h"
-#include "net/event_handles.h"
-#include "net/log.h"
-#include "net/member_connections.h"
+#include "base/counters.h"
+#include "base/event_handles.h"
+#include "base/log.h"
+#include "base/socket_budget.h"
+#include "front/client_session.h"
+#include "stage/decision.h"
 
 namespace peatbend::net {
 
-class Listener {
+class Listener : public SessionHome {
  public:
   Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
            SocketBudget& sockets, std::size_t most_unread, const Clock& clock, Log& log, Counters& counters);
-  ~Listener();
+  ~Listener() override;
 
-  void End(ClientSession& session);
-  // A session holds so many bytes of a command that is not whole, after so many before.
-  void Unread(std::size_t before, std::size_t now);
+  void End(ClientSession& session) override;
+  void Unread(std::size_t before, std::size_t now) override;
   // Accepts no more, ends each session once nothing is owed on it, then calls `then`.
   void Stop(std::function<void()> then);
   int port() const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,9 +5,9 @@
 #include <cstdio>
 #include <exception>
 
-#include "config.h"
-#include "net/event_handles.h"
-#include "net/router.h"
+#include "base/event_handles.h"
+#include "config/config.h"
+#include "router/router.h"
 
 namespace {
 
--- /dev/null
+++ b/src/member/attempt.h
@@ -0,0 +1,21 @@
+// What a member connection knows of the attempt that it carries. The stage that makes attempts implements it,
+// so that connections do not depend on the stages that use them.
+#pragma once
+
+#include <string>
+
+#include "member/server_codec.h"
+
+namespace peatbend::net {
+
+class Attempt {
+ public:
+  virtual ~Attempt() = default;
+  virtual const std::string& member() const = 0;
+  // One of these, once; the connection has let go of the attempt by then.
+  virtual void Answered(FlowReply reply) = 0;
+  // `written`: the request's last byte was handed to the socket, so it may have run.
+  virtual void Broken(bool written) = 0;
+};
+
+}  // namespace peatbend::net
--- a/src/net/member_codec.cpp
+++ b/src/member/member_codec.cpp
@@ -1,7 +1,7 @@
 // RESP to and from the pool members that cache.
-#include "net/client_command.h"
-#include "net/resp.h"
-#include "net/server_codec.h"
+#include "member/server_codec.h"
+#include "protocol/facts.h"
+#include "protocol/resp.h"
 
 namespace peatbend::net {
 namespace {
--- a/src/net/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -1,4 +1,4 @@
-#include "net/member_connections.h"
+#include "member/member_connections.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <cerrno>
 
-#include "net/server_side_flow.h"
-
 namespace peatbend::net {
 namespace {
 // Of the time after which a member closes an idle connection: closed here. The rest covers a request that
@@ -41,8 +39,8 @@
   return true;
 }
 
-void MemberConnection::Begin(ServerSideFlow& flow, const Request& request, Duration limit) {
-  flow_ = &flow;
+void MemberConnection::Begin(Attempt& attempt, const Request& request, Duration limit) {
+  attempt_ = &attempt;
   if (connected_) timer_.Stop();
   codec_->Encode(request, limit, bufferevent_get_output(socket_.get()));
 }
@@ -59,12 +57,12 @@
 }
 
 void MemberConnection::Abandon() {
-  flow_ = nullptr;
+  attempt_ = nullptr;
   home_.Close(*this);
 }
 
 void MemberConnection::Read() {
-  if (flow_ == nullptr) {  // nobody asked
+  if (attempt_ == nullptr) {  // nobody asked
     ++home_.counters_.closed_as_stray;
     return Break();
   }
@@ -80,9 +78,9 @@
     ++home_.counters_.member_malformed;
     home_.log_.Line("member malformed", member_.name + ": " + std::string(reply.complaint));
   }
-  ServerSideFlow* flow = std::exchange(flow_, nullptr);
+  Attempt* attempt = std::exchange(attempt_, nullptr);
   keep ? home_.Idle(*this) : home_.Close(*this);
-  flow->Answered(std::move(reply));
+  attempt->Answered(std::move(reply));
 }
 
 void MemberConnection::Happened(short what) {
@@ -91,7 +89,7 @@
     timer_.Stop();
     return;
   }
-  if ((what & BEV_EVENT_EOF) != 0 && flow_ != nullptr) {
+  if ((what & BEV_EVENT_EOF) != 0 && attempt_ != nullptr) {
     if (auto reply = codec_->ReadAtEnd()) return Finish(std::move(*reply), false);
   }
   Break();
@@ -99,10 +97,10 @@
 
 // The connection did not come up in time, broke or has stood idle long enough.
 void MemberConnection::Break() {
-  bool sent = flow_ != nullptr && written();
-  ServerSideFlow* flow = std::exchange(flow_, nullptr);
+  bool sent = attempt_ != nullptr && written();
+  Attempt* attempt = std::exchange(attempt_, nullptr);
   home_.Close(*this);
-  if (flow != nullptr) flow->Broken(sent);
+  if (attempt != nullptr) attempt->Broken(sent);
 }
 
 MemberConnections::MemberConnections(event_base* base, const Settings& settings, SocketBudget& sockets,
@@ -135,10 +133,10 @@
   if (member.connections.empty()) members_.erase(std::string(member.name));
 }
 
-MemberConnection* MemberConnections::Begin(ServerSideFlow& flow, const Request& request, Duration limit) {
-  auto found = members_.find(flow.member());
+MemberConnection* MemberConnections::Begin(Attempt& attempt, const Request& request, Duration limit) {
+  auto found = members_.find(attempt.member());
   if (found == members_.end() || found->second.to_size == 0) {
-    log_.Line("member unknown", flow.member());
+    log_.Line("member unknown", attempt.member());
     return nullptr;
   }
   Member& member = found->second;
@@ -165,7 +163,7 @@
       return nullptr;
     }
   }
-  connection->Begin(flow, request, limit);
+  connection->Begin(attempt, request, limit);
   return connection;
 }
 
--- a/src/net/member_connections.h
+++ b/src/member/member_connections.h
@@ -8,24 +8,19 @@
 #include <string>
 #include <vector>
 
-#include "net/counters.h"
-#include "net/event_handles.h"
-#include "net/log.h"
-#include "net/pool_list.h"
-#include "net/request.h"
-#include "net/server_codec.h"
+#include "base/counters.h"
+#include "base/event_handles.h"
+#include "base/log.h"
+#include "base/socket_budget.h"
+#include "member/attempt.h"
+#include "member/server_codec.h"
+#include "pool/pool_list.h"
+#include "protocol/request.h"
 
 namespace peatbend::net {
 
-class ServerSideFlow;
 class MemberConnections;
 
-// How many sockets the program may hold, and holds.
-struct SocketBudget {
-  std::size_t most = 1024;
-  std::size_t held = 0;
-};
-
 struct Member;
 
 class MemberConnection {
@@ -34,7 +29,7 @@
   ~MemberConnection();
 
   bool Dial(const sockaddr_storage& address, int size, Duration timeout);
-  void Begin(ServerSideFlow& flow, const Request& request, Duration limit);
+  void Begin(Attempt& attempt, const Request& request, Duration limit);
   // The flow no longer waits: what comes for it must not be taken for another's answer, so this closes.
   void Abandon();
   // Whether nothing has come on it since the last answer, nor the other end closed it.
@@ -56,7 +51,7 @@
   MemberConnections& home_;
   Member& member_;
   std::unique_ptr<ServerCodec> codec_;
-  ServerSideFlow* flow_ = nullptr;
+  Attempt* attempt_ = nullptr;
   bool connected_ = false;
   TimePoint idle_since_{};
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
@@ -80,7 +75,7 @@
 
   void Learn(Scope scope, const std::vector<PoolEntry>& entries);
   // Null if no connection can be tried.
-  MemberConnection* Begin(ServerSideFlow& flow, const Request& request, Duration limit);
+  MemberConnection* Begin(Attempt& attempt, const Request& request, Duration limit);
   void CloseIdle(const std::string& member);
 
  private:
--- a/src/net/origin.cpp
+++ b/src/member/origin.cpp
@@ -1,7 +1,7 @@
 // HTTP to and from the origin.
-#include "net/http1.h"
-#include "net/resp.h"
-#include "net/server_codec.h"
+#include "member/server_codec.h"
+#include "protocol/http1.h"
+#include "protocol/resp.h"
 
 namespace peatbend::net {
 namespace {
--- a/src/net/server_codec.h
+++ b/src/member/server_codec.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <string_view>
 
-#include "net/event_handles.h"
-#include "net/request.h"
+#include "base/event_handles.h"
 #include "peatbend/balancer.h"
+#include "protocol/request.h"
 
 namespace peatbend::net {
 
--- a/src/settings.cpp
+++ b/src/module/settings.cpp
@@ -3,8 +3,8 @@
 #include <cmath>
 #include <stdexcept>
 
+#include "base/text.h"
 #include "peatbend/balancer.h"
-#include "text.h"
 
 namespace peatbend {
 namespace {
--- a/src/net/pool.cpp
+++ b/src/pool/pool.cpp
@@ -1,4 +1,4 @@
-#include "net/pool.h"
+#include "pool/pool.h"
 
 #include <stdexcept>
 
--- a/src/net/pool.h
+++ b/src/pool/pool.h
@@ -8,11 +8,11 @@
 #include <string_view>
 #include <vector>
 
-#include "net/counters.h"
-#include "net/event_handles.h"
-#include "net/http1.h"
-#include "net/log.h"
-#include "net/pool_list.h"
+#include "base/counters.h"
+#include "base/event_handles.h"
+#include "base/log.h"
+#include "pool/pool_list.h"
+#include "protocol/http1.h"
 
 namespace peatbend::net {
 
--- a/src/net/pool_list.cpp
+++ b/src/pool/pool_list.cpp
@@ -1,4 +1,4 @@
-#include "net/pool_list.h"
+#include "pool/pool_list.h"
 
 #include <event2/util.h>
 #include <netinet/in.h>
@@ -7,7 +7,7 @@
 #include <cmath>
 #include <stdexcept>
 
-#include "text.h"
+#include "base/text.h"
 
 namespace peatbend::net {
 namespace {
--- a/src/net/http1.cpp
+++ b/src/protocol/http1.cpp
@@ -1,8 +1,8 @@
-#include "net/http1.h"
+#include "protocol/http1.h"
 
 #include <algorithm>
 
-#include "text.h"
+#include "base/text.h"
 
 namespace peatbend::net::http1 {
 namespace {
--- a/src/net/http1.h
+++ b/src/protocol/http1.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/event_handles.h"
+#include "base/event_handles.h"
 
 namespace peatbend::net::http1 {
 
--- a/src/net/request.h
+++ b/src/protocol/request.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/event_handles.h"
+#include "base/event_handles.h"
 #include "peatbend/balancer.h"
 
 namespace peatbend::net {
--- a/src/net/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -1,8 +1,8 @@
-#include "net/resp.h"
+#include "protocol/resp.h"
 
 #include <algorithm>
 
-#include "text.h"
+#include "base/text.h"
 
 namespace peatbend::net::resp {
 namespace {
--- a/src/net/router.cpp
+++ b/src/router/router.cpp
@@ -1,4 +1,4 @@
-#include "net/router.h"
+#include "router/router.h"
 
 #include <algorithm>
 
--- a/src/net/router.h
+++ b/src/router/router.h
@@ -4,15 +4,15 @@
 #include <functional>
 #include <memory>
 
-#include "config.h"
-#include "net/clock.h"
-#include "net/counters.h"
-#include "net/decision.h"
-#include "net/event_handles.h"
-#include "net/listener.h"
-#include "net/log.h"
-#include "net/member_connections.h"
-#include "net/pool.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/event_handles.h"
+#include "base/log.h"
+#include "config/config.h"
+#include "front/listener.h"
+#include "member/member_connections.h"
+#include "pool/pool.h"
+#include "stage/decision.h"
 
 namespace peatbend::net {
 
--- a/src/net/decision.cpp
+++ b/src/stage/decision.cpp
@@ -1,8 +1,8 @@
-#include "net/decision.h"
+#include "stage/decision.h"
 
 #include <algorithm>
 
-#include "text.h"
+#include "base/text.h"
 
 namespace peatbend::net {
 namespace {
--- a/src/net/decision.h
+++ b/src/stage/decision.h
@@ -17,14 +17,14 @@
 #include <variant>
 #include <vector>
 
-#include "net/clock.h"
-#include "net/counters.h"
-#include "net/event_handles.h"
-#include "net/log.h"
-#include "net/member_connections.h"
-#include "net/request.h"
-#include "net/transaction.h"
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/event_handles.h"
+#include "base/log.h"
+#include "member/member_connections.h"
 #include "peatbend/balancer.h"
+#include "protocol/request.h"
+#include "stage/transaction.h"
 
 namespace peatbend::net {
 
--- a/src/net/server_side_flow.cpp
+++ b/src/stage/server_side_flow.cpp
@@ -1,6 +1,6 @@
-#include "net/server_side_flow.h"
+#include "stage/server_side_flow.h"
 
-#include "net/member_connections.h"
+#include "member/member_connections.h"
 
 namespace peatbend::net {
 
--- a/src/net/server_side_flow.h
+++ b/src/stage/server_side_flow.h
@@ -3,10 +3,10 @@
 
 #include <string>
 
-#include "net/clock.h"
-#include "net/event_handles.h"
-#include "net/request.h"
-#include "net/server_codec.h"
+#include "base/clock.h"
+#include "base/event_handles.h"
+#include "member/attempt.h"
+#include "protocol/request.h"
 
 namespace peatbend::net {
 
@@ -21,7 +21,7 @@
   virtual void FlowEnded(ServerSideFlow& flow, FlowReply reply) = 0;
 };
 
-class ServerSideFlow {
+class ServerSideFlow : public Attempt {
  public:
   ServerSideFlow(FlowOwner& owner, event_base* base, const Clock& clock, RequestId id, int attempt,
                  std::string member)
@@ -31,18 +31,18 @@
         attempt_(attempt),
         member_(std::move(member)),
         limit_(base, [this] { OutOfTime(); }) {}
-  ~ServerSideFlow();
+  ~ServerSideFlow() override;
 
   void Start(MemberConnections& connections, const Request& request, Duration limit);
   void Cancel();
 
   // From the connection, which lets go of the flow first.
-  void Answered(FlowReply reply) { End(std::move(reply)); }
-  void Broken(bool written) { EndWith(written ? Result::kReset : Result::kNoConn); }
+  void Answered(FlowReply reply) override { End(std::move(reply)); }
+  void Broken(bool written) override { EndWith(written ? Result::kReset : Result::kNoConn); }
 
   RequestId id() const { return id_; }
   int attempt() const { return attempt_; }
-  const std::string& member() const { return member_; }
+  const std::string& member() const override { return member_; }
   Duration elapsed() const { return clock_.Now() - started_; }
   bool ended() const { return ended_; }
 
--- a/src/net/transaction.cpp
+++ b/src/stage/transaction.cpp
@@ -1,4 +1,4 @@
-#include "net/transaction.h"
+#include "stage/transaction.h"
 
 #include <utility>
 
--- a/src/net/transaction.h
+++ b/src/stage/transaction.h
@@ -4,9 +4,9 @@
 #include <memory>
 #include <vector>
 
-#include "net/counters.h"
-#include "net/request.h"
-#include "net/server_side_flow.h"
+#include "base/counters.h"
+#include "protocol/request.h"
+#include "stage/server_side_flow.h"
 
 namespace peatbend::net {
 
--- /dev/null
+++ b/tests/layers.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# The packages under src/ ($1) depend one way: a file may include headers of its own package and of those that
+# stand before it in this list, and of none behind it.
+set -eu
+order="base module protocol pool config member stage front router"
+status=0
+seen=""
+for package in $order; do
+  seen="$seen $package"
+  [ -d "$1/$package" ] || { echo "no package $package" >&2; exit 1; }
+  for used in $(grep -rhoE '^#include "[a-z_]+/' "$1/$package" | sed 's/.*"//; s|/||' | sort -u); do
+    case " $seen peatbend " in
+      *" $used "*) ;;
+      *) echo "src/$package includes from src/$used, which stands behind it" >&2; status=1 ;;
+    esac
+  done
+done
+exit $status
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -4,13 +4,14 @@
 #include <string>
 #include <vector>
 
-#include "config.h"
+#include "config/config.h"
 #include "doctest/doctest.h"
-#include "net/client_command.h"
-#include "net/http1.h"
-#include "net/pool_list.h"
-#include "net/resp.h"
-#include "net/server_codec.h"
+#include "front/client_command.h"
+#include "member/server_codec.h"
+#include "pool/pool_list.h"
+#include "protocol/facts.h"
+#include "protocol/http1.h"
+#include "protocol/resp.h"
 
 namespace peatbend::net {
 namespace {
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
+#include "base/event_handles.h"
 #include "doctest/doctest.h"
-#include "net/event_handles.h"
-#include "net/router.h"
+#include "router/router.h"
 
 namespace peatbend::net::test {
 
