--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -6,14 +6,12 @@
 
 namespace peatbend::net {
 
-std::string Describe(const Counters& c) {
+std::vector<std::pair<std::string, std::uint64_t>> Describe(const Counters& c) {
   constexpr std::string_view kResults[] = {"good",  "bad",       "full",       "late", "no_connection",
                                            "reset", "cancelled", "never_sent", "miss"};
   static_assert(std::size(kResults) == std::tuple_size_v<decltype(Counters::outcomes)>);
-  std::string text;
-  auto add = [&text](std::string_view name, std::uint64_t value) {
-    text.append(text.empty() ? "" : " ").append(name).append("=").append(std::to_string(value));
-  };
+  std::vector<std::pair<std::string, std::uint64_t>> counts;
+  auto add = [&counts](std::string_view name, std::uint64_t value) { counts.emplace_back(name, value); };
   add("clients_accepted", c.clients_accepted);
   add("clients_closed", c.clients_closed);
   add("clients_closed_for_room", c.clients_closed_for_room);
@@ -42,7 +40,7 @@
   add("pool_changes", c.pool_changes);
   add("reloads", c.reloads);
   add("reloads_refused", c.reloads_refused);
-  return text;
+  return counts;
 }
 
 }  // namespace peatbend::net
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "peatbend/balancer.h"
 
@@ -26,6 +28,7 @@
   std::uint64_t reloads = 0, reloads_refused = 0;
 };
 
-std::string Describe(const Counters& counters);
+// Names and values, in the order that docs/oncall.md lists them.
+std::vector<std::pair<std::string, std::uint64_t>> Describe(const Counters& counters);
 
 }  // namespace peatbend::net
--- a/src/base/event_handles.h
+++ b/src/base/event_handles.h
@@ -41,6 +41,11 @@
   evbuffer_add(buffer, text.data(), text.size());
 }
 
+inline timeval ToTimeval(std::chrono::nanoseconds time) {
+  auto micros = std::chrono::ceil<std::chrono::microseconds>(std::max(time, std::chrono::nanoseconds{}));
+  return {static_cast<time_t>(micros.count() / 1000000), static_cast<suseconds_t>(micros.count() % 1000000)};
+}
+
 // Calls `then` once each time it is set. May be destroyed from within `then`, which is copied for the call.
 class Timer {
  public:
@@ -50,9 +55,7 @@
   Timer& operator=(const Timer&) = delete;
 
   void Set(std::chrono::nanoseconds in) {
-    auto micros = std::chrono::ceil<std::chrono::microseconds>(std::max(in, std::chrono::nanoseconds{}));
-    timeval delay{static_cast<time_t>(micros.count() / 1000000),
-                  static_cast<suseconds_t>(micros.count() % 1000000)};
+    timeval delay = ToTimeval(in);
     evtimer_add(event_.get(), &delay);
   }
   void SetNow() { event_active(event_.get(), EV_TIMEOUT, 0); }  // in this turn of the loop
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,33 +1,63 @@
 #include "base/log.h"
 
-#include <cstdio>
+#include <fmt/format.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace peatbend::net {
-namespace {
-constexpr int kLinesOfAKind = 20;
-constexpr auto kBoundTime = std::chrono::seconds(10);
-}  // namespace
 
-void Log::Line(std::string_view kind, std::string_view text) {
+Log::Log(std::string name, const Tuning::LogLines& tuning, const Clock& clock)
+    : name_(std::move(name)),
+      tuning_(tuning),
+      clock_(clock),
+      out_(name_, std::make_shared<spdlog::sinks::stderr_sink_st>()) {
+  out_.set_formatter(std::make_unique<spdlog::pattern_formatter>("%v"));
+  out_.flush_on(spdlog::level::info);
+}
+
+void Log::Line(std::string_view kind, std::string_view text) { Write(kind, text, {}); }
+
+void Log::Counts(std::string_view kind, std::span<const Count> counts) {
+  std::string text;
+  for (const auto& [name, value] : counts) {
+    fmt::format_to(std::back_inserter(text), "{}{}={}", text.empty() ? "" : " ", name, value);
+  }
+  Write(kind, text, counts);
+}
+
+void Log::Write(std::string_view kind, std::string_view text, std::span<const Count> counts) {
   Bound& bound = bounds_.try_emplace(std::string(kind)).first->second;
   TimePoint now = clock_.Now();
-  if (now - bound.from >= kBoundTime) {
+  if (now - bound.from >= tuning_.window) {
     bound.from = now;
     bound.lines = 0;
   }
-  if (++bound.lines > kLinesOfAKind) {
+  if (++bound.lines > tuning_.lines_of_a_kind) {
     ++bound.held_back;
     return;
   }
-  std::string line = "peatbend " + name_ + ": ";
-  line.append(kind).append(": ").append(text);
-  if (bound.held_back > 0) line += " (" + std::to_string(bound.held_back) + " lines of this kind held back)";
-  bound.held_back = 0;
-  for (char& c : line) {
-    if (static_cast<unsigned char>(c) < ' ') c = ' ';  // what a stranger sent must not forge a line
+  std::uint64_t held_back = std::exchange(bound.held_back, 0);
+  std::string line;
+  if (tuning_.format == "json") {
+    nlohmann::ordered_json object{
+        {"unix_ms", std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count()},
+        {"name", name_},
+        {"kind", kind}};
+    if (counts.empty()) object["text"] = text;
+    for (const auto& [name, value] : counts) object["counts"][name] = value;
+    if (held_back > 0) object["held_back"] = held_back;
+    line = object.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  } else {
+    line = fmt::format("peatbend {}: {}: {}", name_, kind, text);
+    if (held_back > 0) line += fmt::format(" ({} lines of this kind held back)", held_back);
+    // What a stranger sent must not forge a line.
+    std::ranges::replace_if(
+        line, [](char c) { return static_cast<unsigned char>(c) < ' '; }, ' ');
   }
-  line += '\n';
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  out_.info(spdlog::string_view_t(line));
 }
 
 }  // namespace peatbend::net
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,7 @@
 #include "config/config.h"
 
+#include <fmt/format.h>
+
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -7,6 +9,7 @@
 #include <sstream>
 
 #include "base/text.h"
+#include "config/file.h"
 
 namespace peatbend {
 namespace {
@@ -35,13 +38,17 @@
 
 class Reader {
  public:
-  Reader(const json& root, const std::function<const char*(const char*)>& variable)
-      : root_(root), variable_(variable) {}
+  // `own` stands in for what neither `root` nor a variable states.
+  Reader(const json& root, const json& own, const std::function<const char*(const char*)>& variable)
+      : root_(root), own_(own), variable_(variable) {}
 
   std::string String(const char* variable, const char* key, const char* otherwise) const {
-    auto at = root_.find(key);
-    if (at == root_.end() || at->is_null()) {
+    const json* at = Find(root_, key);
+    if (at == nullptr) {
       if (const char* text = variable_(variable); text != nullptr && *text != '\0') return text;
+      at = Find(own_, key);
+    }
+    if (at == nullptr) {
       if (otherwise != nullptr) return otherwise;
       throw ConfigError(std::string(key) + ": missing, and " + variable + " is not set");
     }
@@ -51,11 +58,11 @@
 
   template <typename T>
   T Limit(const char* key, T otherwise, T least) const {
-    auto limits = root_.find("limits");
-    if (limits == root_.end() || limits->is_null()) return otherwise;
-    if (!limits->is_object()) throw ConfigError("limits: an object expected");
-    auto at = limits->find(key);
-    if (at == limits->end() || at->is_null()) return otherwise;
+    const json* limits = Find(root_, "limits");
+    if (limits != nullptr && !limits->is_object()) throw ConfigError("limits: an object expected");
+    const json* at = limits == nullptr ? nullptr : Find(*limits, key);
+    if (at == nullptr && (limits = Find(own_, "limits")) != nullptr) at = Find(*limits, key);
+    if (at == nullptr) return otherwise;
     if (!at->is_number() || at->template get<T>() < least) {
       throw ConfigError(std::string("limits.") + key + ": a number of at least " + std::to_string(least) +
                         " expected, found " + at->dump());
@@ -65,8 +72,9 @@
 
   // 16 hex digits, or a number. Without one each start draws its own.
   std::uint64_t Seed() const {
-    auto at = root_.find("seed");
-    if (at == root_.end() || at->is_null()) return std::random_device{}();
+    const json* at = Find(root_, "seed");
+    if (at == nullptr) at = Find(own_, "seed");
+    if (at == nullptr) return std::random_device{}();
     if (at->is_number_unsigned()) return at->get<std::uint64_t>();
     std::uint64_t seed = 0;
     std::string text = at->is_string() ? at->get<std::string>() : "";
@@ -77,7 +85,13 @@
   }
 
  private:
+  // Null where the key is missing or null.
+  static const json* Find(const json& object, const char* key) {
+    auto at = object.find(key);
+    return at == object.end() || at->is_null() ? nullptr : &*at;
+  }
   const json& root_;
+  const json& own_;
   const std::function<const char*(const char*)>& variable_;
 };
 
@@ -93,51 +107,90 @@
 
 }  // namespace
 
-Config ReadConfig(std::string_view text, const std::function<const char*(const char*)>& variable) {
-  json root = json::parse(text, nullptr, false);
-  if (root.is_discarded() || !root.is_object()) throw ConfigError("the configuration is not a JSON object");
-  Reader reader(root, variable);
+ConfigError::ConfigError(std::vector<std::string> faults)
+    : std::runtime_error(fmt::format("{}", fmt::join(faults, "; "))), faults_(std::move(faults)) {}
+
+Config ReadConfig(const ConfigText& text, const std::function<const char*(const char*)>& variable) {
+  std::vector<std::string> faults;
+  // Goes on after a fault, so that all are told at once.
+  auto attempt = [&faults](const char* prefix, const auto& step) {
+    try {
+      step();
+    } catch (const std::exception& error) {
+      faults.push_back(prefix + std::string(error.what()));
+    }
+  };
+  json root = json::parse(text.json, nullptr, false);
+  if (root.is_discarded() || !root.is_object()) {
+    faults.emplace_back("the configuration is not a JSON object");
+    root = json::object();
+  }
+  ConfigFile own = ReadConfigFile(text.toml, text.toml_name, faults);
+  Reader reader(root, own.router, variable);
   Config config;
-  config.name = reader.String("BALANCER_NAME", "name", "peatbend");
-  config.listen = reader.String("BALANCER_LISTEN", "listen", nullptr);
-  config.discovery = reader.String("BALANCER_DISCOVERY", "discovery", nullptr);
-  CheckAddress("listen", config.listen);
-  CheckAddress("discovery", config.discovery);
-  config.seed = reader.Seed();
-  config.cores = reader.Limit<double>("cores", 1.0, 0.0);
-  config.memory_mb = reader.Limit<std::int64_t>("memory_mb", 192, 16);
-  config.sockets = reader.Limit<std::int64_t>("sockets", 1024, 64);
+  config.tuning = own.tuning;
+  attempt("", [&] { config.name = reader.String("BALANCER_NAME", "name", "peatbend"); });
+  attempt("", [&] {
+    CheckAddress("listen", config.listen = reader.String("BALANCER_LISTEN", "listen", nullptr));
+  });
+  attempt("", [&] {
+    CheckAddress("discovery", config.discovery = reader.String("BALANCER_DISCOVERY", "discovery", nullptr));
+  });
+  attempt("", [&] { config.seed = reader.Seed(); });
+  attempt("", [&] { config.cores = reader.Limit<double>("cores", 1.0, 0.0); });
+  attempt("", [&] { config.memory_mb = reader.Limit<std::int64_t>("memory_mb", 192, 16); });
+  attempt("", [&] { config.sockets = reader.Limit<std::int64_t>("sockets", 1024, 64); });
   auto settings = root.find("settings");
-  if (settings == root.end() || !settings->is_object()) throw ConfigError("settings: an object expected");
-  try {
-    Apply(config.settings, *settings, "");
-  } catch (const std::invalid_argument& error) {
-    throw ConfigError(std::string("settings.") + error.what());
-  }
-  try {
-    CheckSettings(config.settings);
-  } catch (const std::invalid_argument& error) {
-    throw ConfigError(error.what());
+  bool told = settings != root.end() && settings->is_object();
+  if (!told && own.deployment.is_null()) {
+    faults.emplace_back("settings: an object expected");
+  } else {
+    std::size_t before = faults.size();
+    attempt("settings.", [&] { Apply(config.settings, told ? *settings : own.deployment, ""); });
+    if (faults.size() == before) attempt("", [&] { CheckSettings(config.settings); });
   }
   auto known = root.find("known");
   if (known != root.end() && !known->is_null()) {
-    try {
-      config.known = net::ReadPoolList(*known, config.settings);
-    } catch (const std::invalid_argument& error) {
-      throw ConfigError(std::string("known.") + error.what());
-    }
+    attempt("known.", [&] { config.known = net::ReadPoolList(*known, config.settings); });
   }
+  if (!faults.empty()) throw ConfigError(std::move(faults));
   return config;
 }
 
-Config LoadConfig() {
-  const char* path = std::getenv("BALANCER_CONFIG");
-  if (path == nullptr || *path == '\0') throw ConfigError("BALANCER_CONFIG: not set");
+namespace {
+
+std::string ReadWhole(const std::string& path, const char* whose) {
   std::ifstream file(path);
   std::stringstream text;
-  if (!file || !(text << file.rdbuf()))
-    throw ConfigError(std::string("BALANCER_CONFIG: cannot read ") + path);
-  return ReadConfig(text.str(), [](const char* name) -> const char* { return std::getenv(name); });
+  if (!file || !(text << file.rdbuf()) || text.str().empty())
+    throw ConfigError(std::string(whose) + ": cannot read " + path);
+  return text.str();
+}
+
+}  // namespace
+
+Config LoadConfig(const std::string& own) {
+  ConfigText text;
+  const char* path = std::getenv("BALANCER_CONFIG");
+  bool platform = path != nullptr && *path != '\0';
+  if (!platform && own.empty()) throw ConfigError("BALANCER_CONFIG: not set, and no --config FILE is given");
+  if (platform) text.json = ReadWhole(path, "BALANCER_CONFIG");
+  if (!own.empty()) {
+    text.toml = ReadWhole(own, "--config");
+    text.toml_name = own;
+  }
+  return ReadConfig(text, [](const char* name) -> const char* { return std::getenv(name); });
+}
+
+ConfigText ReadOneFile(const std::string& path) {
+  ConfigText text;
+  if (path.ends_with(".toml")) {
+    text.toml = ReadWhole(path, "check");
+    text.toml_name = path;
+  } else {
+    text.json = ReadWhole(path, "check");
+  }
+  return text;
 }
 
 }  // namespace peatbend
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -1,21 +1,29 @@
 // The one place where the configuration is read, checked and given defaults, at the start and on a reload:
-// the JSON file that BALANCER_CONFIG names, and the environment.
+// the platform's JSON (BALANCER_CONFIG), the environment, and a TOML file of the router's own. All end in one
+// Config. Where several state a key, the platform's JSON goes first, then a variable, then the TOML file.
 #pragma once
 
 #include <functional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "base/tuning.h"
 #include "peatbend/balancer.h"
 #include "pool/pool_list.h"
 
 namespace peatbend {
 
-// Says which variable or key is at fault.
+// Says which variables or keys are at fault: each has a line in faults(), and what() joins them.
 class ConfigError : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  explicit ConfigError(const std::string& fault) : ConfigError(std::vector<std::string>{fault}) {}
+  explicit ConfigError(std::vector<std::string> faults);
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  std::vector<std::string> faults_;
 };
 
 struct Config {
@@ -25,13 +33,24 @@
   double cores = 1;
   std::int64_t memory_mb = 192, sockets = 1024;
   net::PoolList known;
+  net::Tuning tuning;
   Settings settings;
 };
 
-// `text` is the file's; `variable` gives an environment variable or null. What the file says goes before the
+struct ConfigText {
+  std::string json = "{}";  // the platform's file
+  std::string toml = {};    // the router's own file
+  std::string toml_name = "peatbend.toml";
+};
+
+// `variable` gives an environment variable or null. What a file says on the platform's side goes before the
 // variables, at the start and on a reload alike: it can be replaced while the program runs, they cannot.
-Config ReadConfig(std::string_view text, const std::function<const char*(const char*)>& variable);
-// From this process's environment.
-Config LoadConfig();
+// Throws ConfigError with every fault found.
+Config ReadConfig(const ConfigText& text, const std::function<const char*(const char*)>& variable);
+// From this process's environment, and the TOML file at `own` (empty: none). A file that is named must be
+// there.
+Config LoadConfig(const std::string& own = "");
+// The texts of one file alone, by its ending: .toml, or else the platform's JSON.
+ConfigText ReadOneFile(const std::string& path);
 
 }  // namespace peatbend
--- /dev/null
+++ b/src/config/keys.cpp
@@ -0,0 +1,217 @@
+#include "config/keys.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace peatbend {
+namespace {
+
+using net::Tuning;
+
+const TuningKey kKeys[] = {{"log.format", Word{{"text", "json"}, [](Tuning& t) -> auto& {return t.log.format;
+}  // namespace
+}  // namespace peatbend
+}
+, {"log.lines_of_a_kind", WholeNumber{1, 100000, [](Tuning& t) -> auto& {return t.log.lines_of_a_kind;
+}
+}
+}
+, {"log.window_ms", Time{100, 3600000, [](Tuning& t) -> auto& {return t.log.window;
+}
+}
+}
+, {"clients.share", Share{[](Tuning & t) -> auto& {return t.clients.share;
+}
+}
+}
+, {"clients.backlog", WholeNumber{1, 65535, [](Tuning& t) -> auto& {return t.clients.backlog;
+}
+}
+}
+, {"clients.accept_pause_ms", Time{1, 10000, [](Tuning& t) -> auto& {return t.clients.accept_pause;
+}
+}
+}
+, {"clients.first_command_ms", Time{10, 600000, [](Tuning& t) -> auto& {return t.clients.first_command;
+}
+}
+}
+, {"clients.command_ms", Time{10, 600000, [](Tuning& t) -> auto& {return t.clients.command;
+}
+}
+}
+, {"clients.linger_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.clients.linger;
+}
+}
+}
+, {"clients.idle_ms", Time{10, 86400000, [](Tuning& t) -> auto& {return t.clients.idle;
+}
+}
+}
+, {"clients.unread_ms", Time{100, 600000, [](Tuning& t) -> auto& {return t.clients.unread;
+}
+}
+}
+, {"clients.owed", WholeNumber{1, 65536, [](Tuning& t) -> auto& {return t.clients.owed;
+}
+}
+}
+, {"clients.unsent_kb", WholeNumber{64, 65536, [](Tuning& t) -> auto& {return t.clients.unsent_kb;
+}
+}
+}
+, {"clients.crowded_share", Share{[](Tuning & t) -> auto& {return t.clients.crowded_share;
+}
+}
+}
+, {"clients.silent_in_crowd_ms", Time{10, 600000, [](Tuning& t) -> auto& {return t.clients.silent_in_crowd;
+}
+}
+}
+, {"clients.about_to_ask_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.clients.about_to_ask;
+}
+}
+}
+, {"members.idle_share", Share{[](Tuning & t) -> auto& {return t.members.idle_share;
+}
+}
+}
+, {"members.settle_ms", Time{0, 1000, [](Tuning& t) -> auto& {return t.members.settle;
+}
+}
+}
+, {"members.dial_timeout_ms", Time{1, 60000, [](Tuning& t) -> auto& {return t.members.dial_timeout;
+}
+}
+}
+, {"members.keepalive_ms", Time{10, 86400000, [](Tuning& t) -> auto& {return t.members.keepalive;
+}
+}
+}
+, {"pool.silence_ms", Time{100, 600000, [](Tuning& t) -> auto& {return t.pool.silence;
+}
+}
+}
+, {"pool.line_kb", WholeNumber{4, 65536, [](Tuning& t) -> auto& {return t.pool.line_kb;
+}
+}
+}
+, {"memory.unread_share", Share{[](Tuning & t) -> auto& {return t.memory.unread_share;
+}
+}
+}
+, {"stop.keep_listening_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.stop.keep_listening;
+}
+}
+}
+, {"stop.slack_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.stop.slack;
+}
+}
+}
+,
+}
+;
+
+constexpr std::string_view kDeployment[] = {"classes.*.name",
+                                            "classes.*.objective",
+                                            "classes.*.deadline",
+                                            "classes.*.effect",
+                                            "classes.*.group",
+                                            "classes.*.window",
+                                            "classes.*.value",
+                                            "classes.*.lateShare",
+                                            "classes.*.stream",
+                                            "tenants.*.name",
+                                            "tenants.*.share",
+                                            "tenants.*.allowancePerS",
+                                            "zones",
+                                            "flavors",
+                                            "locality",
+                                            "discovery",
+                                            "replicasOfMe",
+                                            "overShareWorth",
+                                            "countedBy",
+                                            "tick",
+                                            "specifics.mode",
+                                            "specifics.originKind",
+                                            "ceilings.tryLimit",
+                                            "ceilings.peers",
+                                            "ceilings.mayCancel",
+                                            "ceilings.secondCopies",
+                                            "ceilings.retryAfter",
+                                            "ceilings.maxRetryAfter",
+                                            "ceilings.keepalive",
+                                            "ceilings.dialTimeout",
+                                            "rules.graceToAnswer",
+                                            "rules.askEvery",
+                                            "rules.startCapacity",
+                                            "rules.warmAfter",
+                                            "rules.drainGrace",
+                                            "rules.fallMultiple",
+                                            "rules.tipAfter",
+                                            "rules.countedOver",
+                                            "rules.freeResends",
+                                            "rules.extraPerRequest",
+                                            "tariffs.connection",
+                                            "tariffs.handshake"};
+
+constexpr std::string_view kTimes[] = {
+    "classes.*.objective",    "classes.*.deadline", "classes.*.window",     "tick",
+    "ceilings.maxRetryAfter", "ceilings.keepalive", "ceilings.dialTimeout", "rules.graceToAnswer",
+    "rules.askEvery",         "rules.warmAfter",    "rules.drainGrace",     "rules.tipAfter",
+    "rules.countedOver"};
+
+// Levenshtein's distance.
+std::size_t Edits(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), 0);
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    std::size_t corner = std::exchange(row[0], i + 1);
+    for (std::size_t j = 0; j < b.size(); ++j) {
+      std::size_t changed = corner + (a[i] == b[j] ? 0 : 1);
+      corner = std::exchange(row[j + 1], std::min({changed, row[j] + 1, row[j + 1] + 1}));
+    }
+  }
+  return row.back();
+}
+
+template <typename... F>
+struct Overloaded : F... {
+  using F::operator()...;
+};
+
+}  // namespace
+
+std::span<const TuningKey> TuningKeys() { return kKeys; }
+
+std::string Shown(const TuningKey& key, const Tuning& tuning) {
+  Tuning copy = tuning;
+  return std::visit(Overloaded{[&](const WholeNumber& n) { return fmt::format("{}", n.at(copy)); },
+                               [&](const Share& s) { return fmt::format("{:.3g}", s.at(copy)); },
+                               [&](const Time& t) { return fmt::format("{}", t.at(copy).count()); },
+                               [&](const Word& w) { return fmt::format("\"{}\"", w.at(copy)); }},
+                    key.value);
+}
+
+std::string Allowed(const TuningKey& key) {
+  return std::visit(Overloaded{[](const WholeNumber& n) { return fmt::format("{} to {}", n.least, n.most); },
+                               [](const Share&) { return std::string("above 0, up to 1"); },
+                               [](const Time& t) { return fmt::format("{} to {}", t.least_ms, t.most_ms); },
+                               [](const Word& w) { return fmt::format("{}", fmt::join(w.words, " or ")); }},
+                    key.value);
+}
+
+std::span<const std::string_view> DeploymentPaths() { return kDeployment; }
+
+bool HoldsTime(std::string_view path) { return std::ranges::find(kTimes, path) != std::end(kTimes); }
+
+std::string Nearest(std::string_view name, std::span<const std::string> known) {
+  auto nearer = [&](const std::string& a, const std::string& b) { return Edits(name, a) < Edits(name, b); };
+  auto at = std::min_element(known.begin(), known.end(), nearer);
+  return at == known.end() ? "" : *at;
+}
+
+}  // namespace peatbend
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -6,25 +6,13 @@
 #include <utility>
 
 namespace peatbend::net {
-namespace {
-// A client may run ahead of its answers so far; then it is not read until some have gone out.
-constexpr std::size_t kMaxOwed = 128, kMaxUnsent = 256 * 1024;
-// A client that takes none of its answers for so long has gone without a word.
-constexpr timeval kUnread{30, 0};
-// A client's first command is whole by then, counted from connecting; any other, from its first byte. It does
-// not matter how the bytes come: one that drips them has no more time than one that sends nothing.
-constexpr auto kFirstCommand = std::chrono::milliseconds(2500), kCommand = std::chrono::milliseconds(2000);
-// From its -ERR on, what a client still sends is read and dropped for so long, and no longer.
-constexpr auto kLinger = std::chrono::milliseconds(2000);
-// A client that owes and is owed nothing may be closed after 2 s.
-constexpr auto kIdle = std::chrono::milliseconds(2050);
-}  // namespace
-
 ClientSession::ClientSession(SessionHome& home, event_base* base, evutil_socket_t socket, Decision& decision,
-                             const Settings& settings, const Clock& clock, Log& log, Counters& counters)
+                             const Settings& settings, const Tuning::Clients& tuning, const Clock& clock,
+                             Log& log, Counters& counters)
     : home_(home),
       decision_(decision),
       settings_(settings),
+      tuning_(tuning),
       clock_(clock),
       log_(log),
       counters_(counters),
@@ -34,7 +22,8 @@
   int yes = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
   bufferevent_setcb(socket_.get(), OnRead, OnWritten, OnEvent, this);
-  bufferevent_set_timeouts(socket_.get(), nullptr, &kUnread);
+  timeval unread = ToTimeval(tuning.unread);
+  bufferevent_set_timeouts(socket_.get(), nullptr, &unread);
   bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
 }
 
@@ -52,7 +41,9 @@
 }
 
 bool ClientSession::Crowded() const {
-  return owed_.size() >= kMaxOwed || evbuffer_get_length(bufferevent_get_output(socket_.get())) >= kMaxUnsent;
+  return owed_.size() >= static_cast<std::size_t>(tuning_.owed) ||
+         evbuffer_get_length(bufferevent_get_output(socket_.get())) >=
+             static_cast<std::size_t>(tuning_.unsent_kb) * 1024;
 }
 
 void ClientSession::Read() {
@@ -200,11 +191,11 @@
 }
 
 TimePoint ClientSession::due() const {
-  if (turned_away_ != TimePoint::max()) return turned_away_ + kLinger;
+  if (turned_away_ != TimePoint::max()) return turned_away_ + tuning_.linger;
   if (closing_) return TimePoint::max();
-  if (!asked_) return connected_ + kFirstCommand;
-  if (half_sent()) return begun_ + kCommand;
-  return idle() ? quiet_since_ + kIdle : TimePoint::max();
+  if (!asked_) return connected_ + tuning_.first_command;
+  if (half_sent()) return begun_ + tuning_.command;
+  return idle() ? quiet_since_ + tuning_.idle : TimePoint::max();
 }
 
 void ClientSession::Overdue() {
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/event_handles.h"
 #include "base/log.h"
+#include "base/tuning.h"
 #include "front/client_command.h"
 #include "protocol/request.h"
 #include "protocol/resp.h"
@@ -31,7 +32,8 @@
 class ClientSession : public AnswerSink {
  public:
   ClientSession(SessionHome& home, event_base* base, evutil_socket_t socket, Decision& decision,
-                const Settings& settings, const Clock& clock, Log& log, Counters& counters);
+                const Settings& settings, const Tuning::Clients& tuning, const Clock& clock, Log& log,
+                Counters& counters);
   ~ClientSession() override;
 
   void Served(std::uint64_t place, evbuffer* value) override;
@@ -80,6 +82,7 @@
   SessionHome& home_;
   Decision& decision_;
   const Settings& settings_;
+  const Tuning::Clients& tuning_;
   const Clock& clock_;
   Log& log_;
   Counters& counters_;
--- a/src/front/listener.cpp
+++ b/src/front/listener.cpp
@@ -9,25 +9,20 @@
 
 namespace peatbend::net {
 namespace {
-constexpr int kBacklog = 511;
-// Of the sockets: so many stay for pool members and the origin however many clients come.
-constexpr std::size_t kForMembers = 3;  // one part in three
-constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+std::size_t Part(std::size_t whole, double share) {
+  return static_cast<std::size_t>(static_cast<double>(whole) * share);
+}
+
 constexpr auto kSweepEvery = std::chrono::milliseconds(100);
-// From one part in so many of the sockets on, clients that have asked nothing have only so long: what is in
-// front of the routers may let in no more than these, and usual clients would be turned away there.
-constexpr std::size_t kCrowdedFrom = 3;
-constexpr auto kSilentInCrowd = std::chrono::milliseconds(300);
-// Silent for less than this, a session may be about to ask.
-constexpr auto kAboutToAsk = std::chrono::milliseconds(100);
 }  // namespace
 
 Listener::Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
-                   SocketBudget& sockets, std::size_t most_unread, const Clock& clock, Log& log,
-                   Counters& counters)
+                   const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread,
+                   const Clock& clock, Log& log, Counters& counters)
     : base_(base),
       decision_(decision),
       settings_(settings),
+      tuning_(tuning),
       sockets_(sockets),
       most_unread_(most_unread),
       clock_(clock),
@@ -48,15 +43,15 @@
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
         static_cast<Listener*>(self)->Accepted(socket);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
-      reinterpret_cast<sockaddr*>(&to), size));
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      static_cast<int>(tuning.backlog), reinterpret_cast<sockaddr*>(&to), size));
   if (!listener_) throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
     auto* listener = static_cast<Listener*>(self);
     listener->log_.Line("accept failed", std::strerror(errno));
     if (listener->MakeRoom()) return;
     evconnlistener_disable(listener->listener_.get());  // or the loop would do nothing but try again
-    listener->accept_again_.Set(kAcceptPause);
+    listener->accept_again_.Set(listener->tuning_.accept_pause);
   });
 }
 
@@ -74,11 +69,10 @@
 void Listener::Accepted(evutil_socket_t socket) {
   ++counters_.clients_accepted;
   ++sockets_.held;
-  sessions_.push_back(
-      std::make_unique<ClientSession>(*this, base_, socket, decision_, settings_, clock_, log_, counters_));
+  sessions_.push_back(std::make_unique<ClientSession>(*this, base_, socket, decision_, settings_, tuning_,
+                                                      clock_, log_, counters_));
   sessions_.back()->self = std::prev(sessions_.end());
-  if (sessions_.size() > sockets_.most - sockets_.most / kForMembers || sockets_.held >= sockets_.most)
-    MakeRoom();
+  if (sessions_.size() > Part(sockets_.most, tuning_.share) || sockets_.held >= sockets_.most) MakeRoom();
 }
 
 // Closes the session that can best be spared: one that was turned away, has never asked, is between requests
@@ -88,9 +82,9 @@
 bool Listener::MakeRoom() {
   ClientSession* best = nullptr;
   TimePoint now = clock_.Now();
-  auto rank = [now](const ClientSession& session) {
+  auto rank = [this, now](const ClientSession& session) {
     auto spare = session.spare();
-    bool early = spare == ClientSession::Spare::kSilent && now - session.quiet_since() < kAboutToAsk;
+    bool early = spare == ClientSession::Spare::kSilent && now - session.quiet_since() < tuning_.about_to_ask;
     return early ? ClientSession::Spare::kHalfSent : spare;
   };
   for (auto& session : sessions_) {
@@ -115,8 +109,8 @@
     ClientSession& session = **at++;
     if (session.due() <= now) {
       session.Overdue();
-    } else if (sessions_.size() > sockets_.most / kCrowdedFrom &&
-               now - session.quiet_since() > kSilentInCrowd &&
+    } else if (sessions_.size() > Part(sockets_.most, tuning_.crowded_share) &&
+               now - session.quiet_since() > tuning_.silent_in_crowd &&
                session.spare() == ClientSession::Spare::kSilent) {
       ++counters_.clients_closed_for_room;
       End(session);
--- a/src/front/listener.h
+++ b/src/front/listener.h
@@ -18,7 +18,8 @@
 class Listener : public SessionHome {
  public:
   Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
-           SocketBudget& sockets, std::size_t most_unread, const Clock& clock, Log& log, Counters& counters);
+           const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread, const Clock& clock,
+           Log& log, Counters& counters);
   ~Listener() override;
 
   void End(ClientSession& session) override;
@@ -36,6 +37,7 @@
   event_base* base_;
   Decision& decision_;
   const Settings& settings_;
+  const Tuning::Clients& tuning_;
   SocketBudget& sockets_;
   std::size_t unread_ = 0, most_unread_;  // bytes of commands that are not whole, of all sessions
   const Clock& clock_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
-// peatbend: the router. Wires configuration, stages and signals together.
+// peatbend: the router's command line. `serve` wires configuration, stages and signals together.
 #include <sys/resource.h>
 
+#include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -12,8 +14,8 @@
 namespace {
 
 // The configuration, with as many sockets as the system allows.
-peatbend::Config Load() {
-  peatbend::Config config = peatbend::LoadConfig();
+peatbend::Config Load(const std::string& own) {
+  peatbend::Config config = peatbend::LoadConfig(own);
   rlimit files{};
   getrlimit(RLIMIT_NOFILE, &files);
   if (files.rlim_cur < static_cast<rlim_t>(config.sockets)) {  // as many as may be held, if that is allowed
@@ -24,8 +26,8 @@
   return config;
 }
 
-int Run() {
-  peatbend::Config config = Load();
+int Serve(const std::string& own) {
+  peatbend::Config config = Load(own);
   std::signal(SIGPIPE, SIG_IGN);
 
   using namespace peatbend::net;
@@ -39,18 +41,55 @@
   auto stop = [&] { router.Stop([&] { event_base_loopbreak(base.get()); }); };
   Signal on_term(base.get(), SIGTERM, stop);
   Signal on_interrupt(base.get(), SIGINT, stop);
-  Signal on_hangup(base.get(), SIGHUP, [&] { router.Reload(Load); });
+  Signal on_hangup(base.get(), SIGHUP, [&] { router.Reload([&] { return Load(own); }); });
   Signal on_usr1(base.get(), SIGUSR1, [&] { router.PrintCounters(); });
   event_base_dispatch(base.get());
   router.PrintCounters();
   return 0;
 }
 
+// Reads what `serve` would read, or one file alone; a line for each fault.
+int Check(const std::string& own, const std::string& file) {
+  auto none = [](const char*) -> const char* { return nullptr; };
+  try {
+    peatbend::Config config =
+        file.empty() ? peatbend::LoadConfig(own) : peatbend::ReadConfig(peatbend::ReadOneFile(file), none);
+    std::printf("peatbend: the configuration is sound: %s listens on %s, discovery at %s, %zu classes\n",
+                config.name.c_str(), config.listen.c_str(), config.discovery.c_str(),
+                config.settings.classes.size());
+    return 0;
+  } catch (const peatbend::ConfigError& error) {
+    for (const std::string& fault : error.faults()) std::fprintf(stderr, "peatbend: %s\n", fault.c_str());
+    return 1;
+  }
+}
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  CLI::App app{"peatbend: spreads keys over cache servers in front of one slow origin"};
+  app.footer(
+      "Without a command, serves.\n\n"
+      "Environment: BALANCER_CONFIG names the platform's JSON file; BALANCER_NAME, BALANCER_LISTEN and\n"
+      "BALANCER_DISCOVERY stand in for keys that it lacks.\n"
+      "Signals: SIGTERM and SIGINT stop after what was taken is answered; SIGHUP reads the files again;\n"
+      "SIGUSR1 prints the counters.\n"
+      "Exit status: 0 after a stop, 1 for a faulty configuration or a failed start, above 100 for wrong\n"
+      "arguments.");
+  std::string own, file;
+  app.add_option("-c,--config", own, "the router's own configuration (TOML; see docs/configuration.md)")
+      ->envname("PEATBEND_CONFIG")
+      ->type_name("FILE");
+  app.require_subcommand(0, 1);
+  auto* serve = app.add_subcommand("serve", "take clients and serve them until stopped");
+  auto* check = app.add_subcommand("check", "read and check the configuration; name each faulty key");
+  check->add_option("FILE", file, "check this file alone: .toml, or else the platform's JSON");
+  auto* version = app.add_subcommand("version", "print the version");
+  for (auto* command : {serve, check, version}) command->fallthrough();
+  CLI11_PARSE(app, argc, argv);
   try {
-    return Run();
+    if (*version) return std::printf("peatbend %s\n", PEATBEND_VERSION) < 0 ? 1 : 0;
+    return *check ? Check(own, file) : Serve(own);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "peatbend: %s\n", error.what());
     return 1;
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -7,16 +7,6 @@
 #include <cerrno>
 
 namespace peatbend::net {
-namespace {
-// Of the time after which a member closes an idle connection: closed here. The rest covers a request that
-// would otherwise cross the member's close and end as a reset.
-constexpr double kIdlePart = 0.8;
-// An answer's connection rests so long before the next request: what belongs to no answer comes right behind
-// one.
-constexpr Duration kSettle = std::chrono::milliseconds(2);
-constexpr Duration kDialDefault = std::chrono::seconds(1), kIdleDefault = std::chrono::seconds(10);
-}  // namespace
-
 MemberConnection::MemberConnection(MemberConnections& home, Member& member,
                                    std::unique_ptr<ServerCodec> codec)
     : home_(home), member_(member), codec_(std::move(codec)), timer_(home.base_, [this] { Break(); }) {
@@ -103,9 +93,16 @@
   if (attempt != nullptr) attempt->Broken(sent);
 }
 
-MemberConnections::MemberConnections(event_base* base, const Settings& settings, SocketBudget& sockets,
-                                     const Clock& clock, Log& log, Counters& counters)
-    : base_(base), settings_(settings), sockets_(sockets), clock_(clock), log_(log), counters_(counters) {}
+MemberConnections::MemberConnections(event_base* base, const Settings& settings,
+                                     const Tuning::Members& tuning, SocketBudget& sockets, const Clock& clock,
+                                     Log& log, Counters& counters)
+    : base_(base),
+      settings_(settings),
+      tuning_(tuning),
+      sockets_(sockets),
+      clock_(clock),
+      log_(log),
+      counters_(counters) {}
 
 void MemberConnections::Learn(Scope scope, const std::vector<PoolEntry>& entries) {
   if (scope == Scope::kFull || scope == Scope::kCached) {
@@ -156,7 +153,8 @@
         *this, member, member.origin ? NewOriginCodec() : NewMemberCodec()));
     connection = member.connections.front().get();
     connection->self_ = member.connections.begin();
-    Duration timeout = settings_.dial_timeout > Duration::zero() ? settings_.dial_timeout : kDialDefault;
+    Duration timeout =
+        settings_.dial_timeout > Duration::zero() ? settings_.dial_timeout : Duration(tuning_.dial_timeout);
     if (!connection->Dial(member.to, member.to_size, timeout)) {
       log_.Line("dial failed", member.name + " at " + member.address);
       Close(*connection);
@@ -171,7 +169,7 @@
 // the last one, noise): they would be read as the answer to the next request. One on which any have come is
 // closed.
 MemberConnection* MemberConnections::TakeIdle(Member& member) {
-  TimePoint rested = clock_.Now() - kSettle;
+  TimePoint rested = clock_.Now() - tuning_.settle;
   for (std::size_t i = member.idle.size(); i-- > 0;) {
     MemberConnection* connection = member.idle[i];
     if (connection->idle_since_ > rested) continue;
@@ -187,10 +185,11 @@
 
 void MemberConnections::Idle(MemberConnection& connection) {
   if (connection.member_.gone) return Close(connection);
-  Duration idle = settings_.keepalive > Duration::zero() ? settings_.keepalive : kIdleDefault;
+  Duration idle = settings_.keepalive > Duration::zero() ? settings_.keepalive : Duration(tuning_.keepalive);
   connection.idle_since_ = clock_.Now();
   connection.member_.idle.push_back(&connection);
-  connection.timer_.Set(Duration(static_cast<Duration::rep>(kIdlePart * static_cast<double>(idle.count()))));
+  connection.timer_.Set(
+      Duration(static_cast<Duration::rep>(tuning_.idle_share * static_cast<double>(idle.count()))));
 }
 
 void MemberConnections::Close(MemberConnection& connection) {
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -12,6 +12,7 @@
 #include "base/event_handles.h"
 #include "base/log.h"
 #include "base/socket_budget.h"
+#include "base/tuning.h"
 #include "member/attempt.h"
 #include "member/server_codec.h"
 #include "pool/pool_list.h"
@@ -70,8 +71,8 @@
 
 class MemberConnections {
  public:
-  MemberConnections(event_base* base, const Settings& settings, SocketBudget& sockets, const Clock& clock,
-                    Log& log, Counters& counters);
+  MemberConnections(event_base* base, const Settings& settings, const Tuning::Members& tuning,
+                    SocketBudget& sockets, const Clock& clock, Log& log, Counters& counters);
 
   void Learn(Scope scope, const std::vector<PoolEntry>& entries);
   // Null if no connection can be tried.
@@ -88,6 +89,7 @@
 
   event_base* base_;
   const Settings& settings_;
+  const Tuning::Members& tuning_;
   SocketBudget& sockets_;
   const Clock& clock_;
   Log& log_;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -3,18 +3,13 @@
 #include <stdexcept>
 
 namespace peatbend::net {
-namespace {
-// A watch says something every 2 s, if only an empty line. Nothing for longer than this: the other end has
-// gone without a word, which TCP would not tell.
-constexpr auto kSilence = std::chrono::milliseconds(3500);
-constexpr std::size_t kMaxWaiting = 4 * 1024 * 1024;  // bytes of a line that has not ended
-}  // namespace
-
-Pool::Pool(event_base* base, const std::string& address, const Settings& settings, std::int64_t known_index,
-           Log& log, Counters& counters, OnNews on_news)
+Pool::Pool(event_base* base, const std::string& address, const Settings& settings,
+           const Tuning::PoolWatch& tuning, std::int64_t known_index, Log& log, Counters& counters,
+           OnNews on_news)
     : base_(base),
       address_(address),
       settings_(settings),
+      tuning_(tuning),
       index_(known_index),
       log_(log),
       counters_(counters),
@@ -25,8 +20,8 @@
 
 void Pool::Watch() {
   ++counters_.watches;
-  reader_.emplace(kMaxWaiting);
-  silence_.Set(kSilence);
+  reader_.emplace(static_cast<std::size_t>(tuning_.line_kb) * 1024);
+  silence_.Set(tuning_.silence);
   socket_.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
   if (!socket_) return Failed("no socket");
   bufferevent_setcb(socket_.get(), OnRead, nullptr, OnEvent, this);
@@ -49,7 +44,7 @@
 }
 
 void Pool::Read() {
-  silence_.Set(kSilence);
+  silence_.Set(tuning_.silence);
   auto status = reader_->Read(bufferevent_get_input(socket_.get()));
   if (status == http1::ResponseReader::Status::kBad) return Failed(reader_->error());
   if (!reader_->has_head()) return;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -11,6 +11,7 @@
 #include "base/counters.h"
 #include "base/event_handles.h"
 #include "base/log.h"
+#include "base/tuning.h"
 #include "pool/pool_list.h"
 #include "protocol/http1.h"
 
@@ -20,8 +21,9 @@
  public:
   // Called with each change, and with kFailed once for each watch that could not be had or has ended.
   using OnNews = std::function<void(Scope, std::vector<PoolEntry>)>;
-  Pool(event_base* base, const std::string& address, const Settings& settings, std::int64_t known_index,
-       Log& log, Counters& counters, OnNews on_news);
+  Pool(event_base* base, const std::string& address, const Settings& settings,
+       const Tuning::PoolWatch& tuning, std::int64_t known_index, Log& log, Counters& counters,
+       OnNews on_news);
 
   // Opens a watch on what changed after the list held; ends one that is open.
   void Watch();
@@ -42,6 +44,7 @@
   sockaddr_storage to_{};
   int to_size_ = 0;
   const Settings& settings_;
+  const Tuning::PoolWatch& tuning_;
   std::int64_t index_;
   Log& log_;
   Counters& counters_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -7,28 +7,26 @@
 // Descriptors that are no sockets of clients or members: standard streams, the loop's, the listener, the
 // watch.
 constexpr std::int64_t kOtherDescriptors = 16;
-// Of the memory: one part in so many for clients' commands that are not whole.
-constexpr std::size_t kMegabyte = 1024 * 1024, kForUnread = 8;
-// After SIGTERM connections still come for up to 0.4 s.
-constexpr auto kKeepListening = std::chrono::milliseconds(550);
-// Longest wait for what was taken after that, beyond the longest deadline.
-constexpr auto kStopSlack = std::chrono::milliseconds(100);
+constexpr double kMegabyte = 1024.0 * 1024;
 }  // namespace
 
 Router::Router(event_base* base, const Config& config)
     : running_(config),
-      log_(config.name, clock_),
+      log_(config.name, config.tuning.log, clock_),
       sockets_{static_cast<std::size_t>(config.sockets - kOtherDescriptors)},
-      connections_(base, running_.settings, sockets_, clock_, log_, counters_),
+      connections_(base, running_.settings, running_.tuning.members, sockets_, clock_, log_, counters_),
       decision_(
           base, running_.settings, config.seed, connections_, [this] { pool_.Watch(); }, clock_, log_,
           counters_),
-      pool_(base, config.discovery, running_.settings, config.known.index, log_, counters_,
+      pool_(base, config.discovery, running_.settings, running_.tuning.pool, config.known.index, log_,
+            counters_,
             [this](Scope scope, std::vector<PoolEntry> entries) {
               decision_.PoolNews(scope, std::move(entries));
             }),
-      listener_(base, config.listen, decision_, running_.settings, sockets_,
-                static_cast<std::size_t>(config.memory_mb) * kMegabyte / kForUnread, clock_, log_, counters_),
+      listener_(base, config.listen, decision_, running_.settings, running_.tuning.clients, sockets_,
+                static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte *
+                                         config.tuning.memory.unread_share),
+                clock_, log_, counters_),
       stop_listening_(base, [this] { listener_.Stop(then_); }),
       stop_at_last_(base, [this] { then_(); }) {
   running_.known = {};  // read once, below; the list moves on without it
@@ -62,6 +60,7 @@
   at_next_start(config.cores != running_.cores || config.memory_mb != running_.memory_mb ||
                     config.sockets != running_.sockets,
                 "limits");
+  at_next_start(config.tuning != running_.tuning, "tuning");
   at_next_start(config.settings != running_.settings, "settings");
 }
 
@@ -75,8 +74,8 @@
   if (std::exchange(stopping_, true)) return;
   log_.Line("stopping", std::to_string(decision_.transactions()) + " transactions open");
   then_ = std::move(then);
-  stop_listening_.Set(kKeepListening);
-  stop_at_last_.Set(kKeepListening + LongestDeadline() + kStopSlack);
+  stop_listening_.Set(running_.tuning.stop.keep_listening);
+  stop_at_last_.Set(running_.tuning.stop.keep_listening + LongestDeadline() + running_.tuning.stop.slack);
 }
 
 }  // namespace peatbend::net
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -25,7 +25,7 @@
   // Takes the configuration that `load` gives. A faulty one (load throws) changes nothing. Discovery is moved
   // at once; what else differs is logged and holds from the next start.
   void Reload(const std::function<Config()>& load);
-  void PrintCounters() { log_.Line("counters", Describe(counters_)); }
+  void PrintCounters() { log_.Counts("counters", Describe(counters_)); }
   const Counters& counters() const { return counters_; }
   int port() const { return listener_.port(); }
 
--- a/src/stage/decision.cpp
+++ b/src/stage/decision.cpp
@@ -1,5 +1,7 @@
 #include "stage/decision.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "base/text.h"
@@ -7,13 +9,12 @@
 namespace peatbend::net {
 namespace {
 
-// Keys are 16 hex digits, as the module knows them; any other text is hashed (FNV-1a).
+// Keys are 16 hex digits, as the module knows them; any other text is hashed (XXH3, the
+// same on every machine and in every version of the library).
 Key KeyOf(std::string_view text) {
   std::uint64_t value = 0;
   if (text.size() == 16 && ParseNumber(text, value, 16)) return Key{value};
-  value = 0xcbf29ce484222325ULL;
-  for (unsigned char c : text) value = (value ^ c) * 0x100000001b3ULL;
-  return Key{value};
+  return Key{XXH3_64bits(text.data(), text.size())};
 }
 
 Settings OnSockets(Settings settings) {
--- /dev/null
+++ b/tests/net/config_test.cpp
@@ -0,0 +1,128 @@
+// The router's own configuration file, and the log lines that it can change.
+#include "config/config.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "config/file.h"
+#include "config/keys.h"
+#include "doctest/doctest.h"
+
+namespace peatbend::net::test {
+namespace {
+
+const char* NoVariable(const char*) { return nullptr; }
+
+std::string Whole(const std::string& path) {
+  std::ifstream file(PEATBEND_SOURCE + ("/" + path));
+  std::stringstream text;
+  text << file.rdbuf();
+  REQUIRE(!text.str().empty());
+  return text.str();
+}
+
+const char kSound[] = R"([router]
+name = "r1"
+listen = "127.0.0.1:0"
+discovery = "127.0.0.1:9"
+sockets = 300
+[clients]
+idle_ms = 700
+[deployment]
+zones = ["a", "b"]
+replicasOfMe = 4
+[[deployment.classes]]
+name = "read"
+objective = "0.5s"
+deadline = "2s"
+[[deployment.classes]]
+name = "write"
+deadline = 1200000000
+effect = "idempotency_key"
+window = "1500ms"
+)";
+
+TEST_CASE("the TOML file alone makes a whole configuration; the platform's JSON goes before it") {
+  Config config = ReadConfig({.toml = kSound}, NoVariable);
+  CHECK(config.name == "r1");
+  CHECK(config.sockets == 300);
+  CHECK(config.tuning.clients.idle == Milliseconds(700));
+  CHECK(config.settings.proxies == 4);
+  CHECK(config.settings.zones == std::vector<std::string>{"a", "b"});
+  REQUIRE(config.settings.classes.size() == 2);
+  CHECK(config.settings.classes[0].aim == Milliseconds(500));
+  CHECK(config.settings.classes[1].deadline == Milliseconds(1200));
+  CHECK(config.settings.classes[1].window == Milliseconds(1500));
+  config = ReadConfig({.json = R"({"name":"p1","limits":{"sockets":99},
+      "settings":{"classes":[{"name":"only","deadline":1000000000}]}})",
+                       .toml = kSound},
+                      NoVariable);
+  CHECK(config.name == "p1");
+  CHECK(config.sockets == 99);
+  CHECK(config.settings.classes.size() == 1);
+  CHECK(config.discovery == "127.0.0.1:9");
+}
+
+TEST_CASE("each fault of the TOML file is told, with its line and key, and nothing is guessed") {
+  const struct {
+    std::string line, fault;
+  } bad[] = {
+      {"[clients]\nidel_ms = 5",
+       "f.toml:2: clients.idel_ms: not known; the nearest known name is clients.idle_ms"},
+      {"[clients]\nidle_ms = 5", "f.toml:2: clients.idle_ms: 10 to 86400000 expected"},
+      {"[clients]\nidle_ms = \"2s\"", "clients.idle_ms: 10 to 86400000 expected"},
+      {"[clients]\nidle_ms = 20.5", "clients.idle_ms: 10 to 86400000 expected"},
+      {"[members]\nidle_share = 1.5", "members.idle_share: above 0, up to 1 expected"},
+      {"[members]\nidle_share = nan", "members.idle_share: above 0, up to 1 expected"},
+      {"[log]\nformat = \"xml\"", "log.format: text or json expected"},
+      {"[deployment]\n[[deployment.classes]]\ndeadlin = 1",
+       "deployment.classes.0.deadlin: not known; the nearest known name is deployment.classes.*.deadline"},
+      {"[deployment.rules]\ndrainGrace = \"soon\"", "deployment.rules.drainGrace: a time such as"},
+      {"[router]\nlisten = 2020-01-01", "router.listen: a number or a string expected"},
+      {"[clients\n", "f.toml:1: not TOML"},
+  };
+  for (const auto& one : bad) {
+    CAPTURE(one.line);
+    std::vector<std::string> faults;
+    ReadConfigFile(one.line, "f.toml", faults);
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].find(one.fault) != std::string::npos);
+  }
+  try {
+    ReadConfig({.json = R"({"listen":"x"})", .toml = "[clients]\nidle_ms = 1\n[log]\nlines = 3\n"},
+               NoVariable);
+    FAIL("taken");
+  } catch (const ConfigError& error) {
+    CHECK(error.faults().size() == 5);  // two of the file, listen, discovery, settings
+  }
+}
+
+TEST_CASE("docs/configuration.md and deploy/peatbend.toml state every key as the code has it") {
+  std::string page = Whole("docs/configuration.md");
+  Tuning defaults;
+  for (const TuningKey& key : TuningKeys()) {
+    CAPTURE(key.name);
+    std::string row =
+        "| `" + std::string(key.name) + "` | `" + Shown(key, defaults) + "` | " + Allowed(key) + " |";
+    CHECK(page.find(row) != std::string::npos);
+  }
+  std::size_t rows = 0;
+  for (std::size_t at = 0; (at = page.find("` | `", at)) != std::string::npos; ++at) ++rows;
+  CHECK(rows >= TuningKeys().size());
+  for (std::string_view path : DeploymentPaths()) {
+    CAPTURE(path);
+    std::string name(path.substr(path.rfind('.') + 1));
+    CHECK(page.find("`" + name + "`") != std::string::npos);
+  }
+  std::vector<std::string> faults;
+  ConfigFile file = ReadConfigFile(Whole("deploy/peatbend.toml"), "peatbend.toml", faults);
+  CHECK(faults.empty());
+  CHECK(file.tuning == defaults);
+  for (const TuningKey& key : TuningKeys()) {
+    std::string name(key.name.substr(key.name.find('.') + 1));
+    CHECK(Whole("deploy/peatbend.toml").find("\n" + name + " = ") != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace peatbend::net::test
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -306,18 +306,21 @@
       R"("settings":{"classes":[{"name":"read","deadline":1e9,"objective":500000000}],"zones":["a","b"],
          "ceilings":{"dialTimeout":250000000},"rules":{"warmAfter":24000000000}})";
   Config config = ReadConfig(
-      R"({"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",)" +
-          settings + "}",
+      {.json =
+           R"({"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",)" +
+           settings + "}"},
       [](const char* name) { return std::string(name) == "BALANCER_NAME" ? "n4" : nullptr; });
   CHECK(config.name == "n3");  // the file goes first: a reload could not change a variable
   const std::string no_name = R"({"listen":"127.0.0.1:1",)" + settings + "}";
-  config = ReadConfig(
-      no_name, [](const char* name) { return std::string(name) == "BALANCER_NAME" ? "n4" : "127.0.0.1:2"; });
+  config = ReadConfig({.json = no_name}, [](const char* name) {
+    return std::string(name) == "BALANCER_NAME" ? "n4" : "127.0.0.1:2";
+  });
   CHECK(config.name == "n4");
   CHECK(config.discovery == "127.0.0.1:2");
   config = ReadConfig(
-      R"({"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",)" +
-          settings + "}",
+      {.json =
+           R"({"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",)" +
+           settings + "}"},
       NoVariable);
   CHECK(config.seed == 0x8c1f30d27a5be964);
   CHECK(config.settings.classes[0].deadline == std::chrono::seconds(1));
@@ -343,7 +346,8 @@
   };
   for (const auto& one : bad) {
     CAPTURE(one.text);
-    CHECK_THROWS_WITH_AS(ReadConfig(one.text, NoVariable), doctest::Contains(one.fault.c_str()), ConfigError);
+    CHECK_THROWS_WITH_AS(ReadConfig({.json = one.text}, NoVariable), doctest::Contains(one.fault.c_str()),
+                         ConfigError);
   }
 }
 
--- a/tests/net/program.sh
+++ b/tests/net/program.sh
@@ -29,7 +29,27 @@
 if "$program" 2>"$folder/log"; then fail "a faulty configuration was taken"; fi
 grep -q 'limits.sockets' "$folder/log" || fail "the faulty key is not named"
 
+# The command line: what is wrong, in one call; what is sound; the version; a wrong word.
+printf '[clients]\nidel_ms = 5\n[log]\nformat = "xml"\n' >"$folder/own.toml"
+if "$program" check --config "$folder/own.toml" 2>"$folder/log"; then fail "check took faulty files"; fi
+for key in clients.idel_ms clients.idle_ms log.format limits.sockets; do
+  grep -q "$key" "$folder/log" || fail "check does not name $key"
+done
+"$program" version | grep -q '^peatbend [0-9]' || fail "no version"
+if "$program" sevre >/dev/null 2>&1; then fail "a wrong word was taken"; fi
+"$program" --help | grep -q 'SIGHUP' || fail "the help does not speak of signals"
+
+# A log in JSON: each line one object, with what a stranger sent escaped.
 echo '{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9",'"$settings}" >"$BALANCER_CONFIG"
+printf '[log]\nformat = "json"\n' >"$folder/own.toml"
+"$program" check --config "$folder/own.toml" | grep -q 'sound' || fail "check refused sound files"
+"$program" serve --config "$folder/own.toml" 2>"$folder/log" &
+pid=$!
+await '"kind":"start","text":"listening on' 1
+kill -TERM "$pid"
+wait "$pid" || fail "the exit was not 0"
+grep -q '"kind":"counters","counts":{"clients_accepted":0' "$folder/log" || fail "no counters as fields"
+
 "$program" 2>"$folder/log" &
 pid=$!
 await 'start: listening on' 1
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -196,7 +196,7 @@
                     "dialTimeout":250000000,"keepalive":100000000000,"secondCopies":true},
         "rules":{"graceToAnswer":20000000,"askEvery":10000000000,"startCapacity":0.14,"warmAfter":24000000000,
                  "drainGrace":250000000,"fallMultiple":3.0,"tipAfter":2000000000},"tick":5000000}})";
-    return ReadConfig(text, [](const char*) -> const char* { return nullptr; });
+    return ReadConfig({.json = text}, [](const char*) -> const char* { return nullptr; });
   }
 
   EventBasePtr base{event_base_new()};
