--- /dev/null
+++ b/src/lab/plan.cpp
@@ -0,0 +1,60 @@
+#include "lab/plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace peatbend::lab {
+
+Plan DrawPlan(const Scenario& scenario, std::uint64_t seed) {
+  using world::Random;
+  using world::Weighted;
+  Plan plan;
+  Random names(seed, 1), times(seed, 2), whats(seed, 3), drift(seed, 4);
+  for (int i = 0; i < scenario.keys; ++i) plan.keys.push_back(fmt::format("{:016x}", names.Word()));
+  std::vector<int> ranks(plan.keys.size());
+  std::iota(ranks.begin(), ranks.end(), 0);
+  Weighted by_rank = Weighted::Zipf(plan.keys.size(), scenario.zipf);
+  std::vector<double> class_shares, tenant_shares;
+  for (const ClassOfRequests& cls : scenario.classes) class_shares.push_back(cls.share);
+  for (const Tenant& tenant : scenario.tenants) tenant_shares.push_back(tenant.share);
+  Weighted by_class(class_shares), by_tenant(tenant_shares);
+
+  auto factor = [&](Time at) {
+    double now = 1;
+    for (const Step& step : scenario.steps) {
+      if (step.at <= at) now = step.factor;
+    }
+    return now;
+  };
+  Time at{}, drifted{};
+  // Thinned from the highest rate, so that a step falls where it should.
+  double highest = 1;
+  for (const Step& step : scenario.steps) highest = std::max(highest, step.factor);
+  for (;;) {
+    at += world::FromSeconds(times.Exponential(1 / (scenario.rate * highest)));
+    if (at >= scenario.lasts) break;
+    while (scenario.drift_per_s > 0 && drifted < at) {
+      drifted += world::FromSeconds(0.1);
+      auto count = static_cast<int>(scenario.drift_per_s * 0.1 * static_cast<double>(ranks.size()) + drift.Unit());
+      for (int i = 0; i < count; ++i) {
+        auto size = static_cast<std::uint32_t>(ranks.size());
+        std::swap(ranks[drift.Below(size)], ranks[drift.Below(size)]);
+      }
+    }
+    if (!times.Chance(factor(at) / highest)) continue;
+    Planned one;
+    one.at = at;
+    one.key = ranks[by_rank.Draw(whats)];
+    one.cls = static_cast<int>(by_class.Draw(whats));
+    one.tenant = static_cast<int>(by_tenant.Draw(whats));
+    one.router = static_cast<int>(whats.Below(static_cast<std::uint32_t>(scenario.routers)));
+    const ClassOfRequests& cls = scenario.classes[static_cast<std::size_t>(one.cls)];
+    one.work_ms = whats.Between(cls.work_least_ms, cls.work_most_ms);
+    plan.requests.push_back(one);
+  }
+  return plan;
+}
+
+}  // namespace peatbend::lab
--- /dev/null
+++ b/src/lab/referee.cpp
@@ -0,0 +1,176 @@
+#include "lab/referee.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace peatbend::lab {
+namespace {
+constexpr std::size_t kExamples = 5;
+}
+
+std::string_view RuleName(Rule rule) {
+  constexpr std::string_view kNames[] = {
+      "request_lost",      "answered_twice",  "resent_unsafe", "resent_after_window", "resent_outside_group",
+      "refused_after_run", "sent_to_drained", "cold_overrun",  "origin_stopped",      "foreign_value",
+      "router_crashed"};
+  static_assert(std::size(kNames) == kRules);
+  return kNames[static_cast<std::size_t>(rule)];
+}
+
+std::string MakeValue(std::string_view key, std::string_view id, std::string_view server, std::size_t bytes) {
+  std::string value = fmt::format("{}|{}|{}|", key, id, server);
+  if (value.size() < bytes) value.resize(bytes, '.');
+  return value;
+}
+
+void Referee::Break(Rule rule, Time at, std::string request, std::string member, std::string what) {
+  Count& count = counts_[static_cast<std::size_t>(rule)];
+  ++count.times;
+  if (count.first.size() < kExamples)
+    count.first.push_back({at, std::move(request), std::move(member), std::move(what)});
+}
+
+std::uint64_t Referee::broken() const {
+  std::uint64_t sum = 0;
+  for (const Count& count : counts_) sum += count.times;
+  return sum;
+}
+
+void Referee::Sent(const std::string& id, std::string_view key, int cls, int router, Time at, Span waits) {
+  Try& one = tries_[id];
+  one.key = key;
+  one.cls = cls;
+  one.router = router;
+  one.until = at + waits + world::FromMs(scenario_.grace_ms);
+}
+
+bool Referee::MayHaveRun(const Try& one, std::size_t except) const {
+  return std::ranges::any_of(one.attempts, [&](std::size_t i) {
+    return i != except && attempts_[i].whole && !attempts_[i].never_ran;
+  });
+}
+
+void Referee::Answered(const std::string& id, Final how, std::string_view value, Time at) {
+  auto found = tries_.find(id);
+  if (found == tries_.end()) return;
+  Try& one = found->second;
+  if (one.over) return MoreCame(id, at);
+  one.over = true;
+  if (at > one.until) {
+    Break(Rule::kRequestLost, at, id, "", fmt::format("answered {:.0f} ms too late", world::Ms(at - one.until)));
+  }
+  if (how == Final::kServed && !value.starts_with(one.key + "|" + id + "|")) {
+    Break(Rule::kForeignValue, at, id, "",
+          fmt::format("asked {}, was served '{}'", one.key, value.substr(0, std::min<std::size_t>(value.size(), 40))));
+  }
+  const ClassSettings& cls = scenario_.classes[static_cast<std::size_t>(one.cls)].rules;
+  bool harmless = cls.effect == Effect::kSafe || (cls.effect == Effect::kKeyed && cls.group == Group::kAll);
+  if (how == Final::kRejected && !harmless && MayHaveRun(one, attempts_.size())) {
+    Break(Rule::kRefusedAfterRun, at, id, "", "an attempt may have run");
+  }
+}
+
+void Referee::MoreCame(const std::string& id, Time at) {
+  Break(Rule::kAnsweredTwice, at, id, "", "more than one answer came");
+}
+
+void Referee::Unanswered(const std::string& id, Time at) {
+  auto found = tries_.find(id);
+  if (found == tries_.end() || found->second.over) return;
+  found->second.over = true;
+  if (!found->second.excused) Break(Rule::kRequestLost, at, id, "", "no final answer");
+}
+
+void Referee::NotTaken(const std::string& id) {
+  if (auto found = tries_.find(id); found != tries_.end()) found->second.over = true;
+}
+
+void Referee::RouterEnded(int router, Time) {
+  for (auto& [id, one] : tries_) {
+    if (one.router == router && !one.over) one.excused = true;
+  }
+}
+
+void Referee::RouterCrashed(int router, Time at, std::string_view how) {
+  Break(Rule::kRouterCrashed, at, "", fmt::format("router {}", router), std::string(how));
+}
+
+std::size_t Referee::Attempt(const std::string& id, int place, int router, Time first_byte) {
+  std::size_t number = attempts_.size();
+  attempts_.push_back({id, place, false, false, first_byte});
+  if (place < 0) {
+    ++to_origin_;
+    return number;
+  }
+  auto leaving = leaving_.find({router, place});
+  Time told = leaving == leaving_.end() ? Time::max() : leaving->second;
+  if (auto listed = listed_leaving_.find(place); listed != listed_leaving_.end())
+    told = std::min(told, listed->second);
+  Span grace = world::FromMs(scenario_.drain_grace_ms);
+  if (told != Time::max() && first_byte > told + grace) {
+    Break(Rule::kSentToDrained, first_byte, id, fmt::format("place {}", place),
+          fmt::format("router {} sent {:.0f} ms after it was told", router, world::Ms(first_byte - told)));
+  }
+  return number;
+}
+
+void Referee::AttemptWhole(std::size_t number, Time last_byte, int zone) {
+  Sending& sending = attempts_[number];
+  sending.whole = true;
+  auto found = tries_.find(sending.id);
+  if (found == tries_.end()) return;
+  Try& one = found->second;
+  one.attempts.push_back(number);
+  if (RouterZone(scenario_, one.router) != zone) ++crossings_;
+  const ClassSettings& cls = scenario_.classes[static_cast<std::size_t>(one.cls)].rules;
+  if (cls.effect == Effect::kSafe) return;
+  auto where = [](int place) { return place < 0 ? std::string("the origin") : fmt::format("place {}", place); };
+  for (std::size_t earlier : one.attempts) {
+    const Sending& first = attempts_[earlier];
+    if (earlier == number || first.never_ran) continue;
+    Span since = last_byte - first.at;
+    if (cls.effect == Effect::kUnsafe) {
+      return Break(Rule::kResentUnsafe, last_byte, sending.id, where(sending.place),
+                   fmt::format("{:.0f} ms after it went to {}", world::Ms(since), where(first.place)));
+    }
+    if (since > cls.window + world::FromMs(scenario_.window_slack_ms)) {
+      return Break(Rule::kResentAfterWindow, last_byte, sending.id, where(sending.place),
+                   fmt::format("{:.0f} ms after the first that may have run", world::Ms(since)));
+    }
+    // A write's repeats are dropped by the origin alone where servers only store.
+    bool outside = first.place < 0 ? sending.place >= 0 : sending.place < 0;
+    if (outside) {
+      return Break(Rule::kResentOutsideGroup, last_byte, sending.id, where(sending.place),
+                   "it may have run at " + where(first.place));
+    }
+  }
+}
+
+void Referee::Told(int router, int place, bool serves, Time at) {
+  if (serves) {
+    leaving_.erase({router, place});
+  } else {
+    leaving_.try_emplace({router, place}, at);
+  }
+}
+
+void Referee::Listed(int place, bool serves, Time at) {
+  if (serves) {
+    listed_leaving_.erase(place);
+  } else {
+    listed_leaving_.try_emplace(place, at + world::FromSeconds(scenario_.late_drain_told_s));
+  }
+}
+
+void Referee::Fell(int place, Time at) {
+  Break(Rule::kColdOverrun, at, "", fmt::format("place {}", place), "was sent more than it could take while cold");
+}
+
+void Referee::OriginFell(double cold_share, Time at) {
+  if (cold_share < 0.5) return;
+  Break(Rule::kOriginStopped, at, "", "the origin",
+        fmt::format("misses at cold servers made {:.0f} % of its load", 100 * cold_share));
+}
+
+}  // namespace peatbend::lab
--- /dev/null
+++ b/src/lab/tally.cpp
@@ -0,0 +1,233 @@
+#include "lab/tally.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+namespace peatbend::lab {
+namespace {
+
+namespace bh = boost::histogram;
+constexpr double kLeastMs = 0.01, kMostMs = 1e5;
+// Bins 2 % wide: their middle is at most 1 % off.
+const int kBins = static_cast<int>(std::ceil(std::log(kMostMs / kLeastMs) / std::log(1.02)));
+
+double Earned(const ClassSettings& cls, const Planned& planned, const Outcome& outcome) {
+  if (outcome.what != Outcome::What::kServed) return 0;
+  Span took = outcome.at - planned.at;
+  if (took <= cls.aim) return 1;
+  return took <= cls.deadline ? cls.late_share : 0;
+}
+
+struct Share {
+  double asked = 0, earned = 0;
+  double value() const { return asked > 0 ? earned / asked : 1; }
+};
+
+}  // namespace
+
+struct LatencyHistogram::Axis {
+  decltype(bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(1, 1, 2))) counts =
+      bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(kBins, kLeastMs, kMostMs));
+};
+LatencyHistogram::LatencyHistogram() : axis_(std::make_unique<Axis>()) {}
+LatencyHistogram::~LatencyHistogram() = default;
+LatencyHistogram::LatencyHistogram(LatencyHistogram&&) noexcept = default;
+void LatencyHistogram::Add(double ms) { axis_->counts(std::clamp(ms, kLeastMs, kMostMs * 0.999)); }
+
+Latencies LatencyHistogram::Read() const {
+  double all = bh::algorithm::sum(axis_->counts);
+  auto quantile = [&](double q) {
+    double seen = 0;
+    for (auto&& bin : bh::indexed(axis_->counts)) {
+      seen += *bin;
+      if (all > 0 && seen >= q * all) return std::sqrt(bin.bin().lower() * bin.bin().upper());
+    }
+    return 0.0;
+  };
+  return {quantile(0.5), quantile(0.9), quantile(0.99), quantile(0.999)};
+}
+
+DayResult Reckon(const Scenario& scenario, std::uint64_t seed, const Plan& plan,
+                 const std::vector<Outcome>& outcomes, const Referee& referee, const WorldCounts& counts) {
+  DayResult result;
+  result.scenario = scenario.name;
+  result.seed = seed;
+  result.marks = scenario.marks;
+  auto seconds = static_cast<std::size_t>(std::ceil(world::Seconds(scenario.lasts)));
+  std::vector<Share> by_second(seconds), by_class(scenario.classes.size()), by_tenant(scenario.tenants.size());
+  std::vector<LatencyHistogram> second_times(seconds), class_times(scenario.classes.size()),
+      tenant_times(scenario.tenants.size());
+  result.classes.resize(scenario.classes.size());
+  result.tenants.resize(scenario.tenants.size());
+  result.timeline.resize(seconds);
+  Share whole;
+  for (std::size_t i = 0; i < plan.requests.size(); ++i) {
+    const Planned& planned = plan.requests[i];
+    const Outcome& outcome = outcomes[i];
+    auto c = static_cast<std::size_t>(planned.cls), t = static_cast<std::size_t>(planned.tenant);
+    auto s = std::min(seconds - 1, static_cast<std::size_t>(world::Seconds(planned.at)));
+    ++result.timeline[s].asked;
+    const ClassSettings& cls = scenario.classes[c].rules;
+    double asked = cls.worth * planned.work_ms, share = Earned(cls, planned, outcome);
+    if (planned.at >= scenario.warm_up) {
+      for (Share* one : {&whole, &by_second[s], &by_class[c], &by_tenant[t]}) {
+        one->asked += asked;
+        one->earned += asked * share;
+      }
+    }
+    for (GroupResult* group : {&result.classes[c], &result.tenants[t]}) {
+      ++group->asked;
+      if (outcome.what == Outcome::What::kServed) ++(share == 1 ? group->in_time : group->late);
+      if (outcome.what == Outcome::What::kRejected) ++group->rejected;
+      if (outcome.what == Outcome::What::kFailed || outcome.what == Outcome::What::kOpen) ++group->failed;
+    }
+    if (outcome.what == Outcome::What::kServed) {
+      double ms = world::Ms(outcome.at - planned.at);
+      class_times[c].Add(ms);
+      tenant_times[t].Add(ms);
+      second_times[s].Add(ms);
+    }
+  }
+  result.whole = whole.value();
+  result.worst_class = result.worst_tenant = result.worst_window = 1;
+  for (std::size_t c = 0; c < by_class.size(); ++c) {
+    result.classes[c].name = scenario.classes[c].rules.name;
+    result.classes[c].worth = by_class[c].value();
+    result.classes[c].latency = class_times[c].Read();
+    result.worst_class = std::min(result.worst_class, by_class[c].value());
+  }
+  for (std::size_t t = 0; t < by_tenant.size(); ++t) {
+    result.tenants[t].name = scenario.tenants[t].name;
+    result.tenants[t].worth = by_tenant[t].value();
+    result.tenants[t].latency = tenant_times[t].Read();
+    result.worst_tenant = std::min(result.worst_tenant, by_tenant[t].value());
+  }
+  for (std::size_t s = 0; s < seconds; ++s) {
+    Second& second = result.timeline[s];
+    second.second = static_cast<int>(s);
+    second.worth = by_second[s].value();
+    Latencies times = second_times[s].Read();
+    second.p50 = times.p50;
+    second.p99 = times.p99;
+    if (s < counts.origin.size()) second.origin = counts.origin[s];
+    if (s < counts.members.size()) second.member_load = counts.members[s];
+  }
+  std::size_t window = std::min<std::size_t>(10, seconds);
+  for (std::size_t from = 0; from + window <= seconds; ++from) {
+    Share sum;
+    for (std::size_t s = from; s < from + window; ++s) {
+      sum.asked += by_second[s].asked;
+      sum.earned += by_second[s].earned;
+    }
+    result.worst_window = std::min(result.worst_window, sum.value());
+  }
+  double first_tries = std::max<double>(1, static_cast<double>(plan.requests.size()));
+  double work = std::accumulate(plan.requests.begin(), plan.requests.end(), 0.0,
+                                [](double sum, const Planned& one) { return sum + one.work_ms; });
+  result.attempts_per_request = static_cast<double>(referee.attempts()) / first_tries;
+  result.crossings_per_request = static_cast<double>(referee.crossings()) / first_tries;
+  result.origin_load = static_cast<double>(referee.to_origin()) / world::Seconds(scenario.lasts) /
+                       scenario.fleet.origin.per_second;
+  result.waste = world::Ms(counts.wasted) / std::max(1.0, work);
+  result.worth = 0.6 * result.whole + 0.1 * result.worst_window + 0.2 * result.worst_class +
+                 0.1 * result.worst_tenant - 0.16 * result.crossings_per_request - 0.3 * result.waste;
+  for (std::size_t i = 0; i < kRules; ++i) {
+    Rule rule = static_cast<Rule>(i);
+    result.rules.push_back({std::string(RuleName(rule)), referee.count(rule)});
+  }
+  result.broken = referee.broken();
+  return result;
+}
+
+std::string ToJson(const DayResult& r) {
+  using json = nlohmann::ordered_json;
+  auto round = [](double value) { return std::round(value * 1e5) / 1e5; };
+  auto times = [&](const Latencies& l) {
+    return json{{"p50", round(l.p50)}, {"p90", round(l.p90)}, {"p99", round(l.p99)}, {"p999", round(l.p999)}};
+  };
+  auto groups = [&](const std::vector<GroupResult>& all) {
+    json object = json::object();
+    for (const GroupResult& g : all) {
+      object[g.name] = {{"asked", g.asked},       {"in_time", g.in_time}, {"late", g.late},
+                        {"rejected", g.rejected}, {"failed", g.failed},   {"worth", round(g.worth)},
+                        {"ms", times(g.latency)}};
+    }
+    return object;
+  };
+  json rules = json::object(), timeline = json::array(), routers = json::array(), marks = json::array();
+  for (const auto& rule : r.rules) {
+    json first = json::array();
+    for (const auto& one : rule.count.first) {
+      first.push_back({{"at_s", round(world::Seconds(one.at))},
+                       {"request", one.request},
+                       {"member", one.member},
+                       {"what", one.what}});
+    }
+    rules[rule.name] = {{"count", rule.count.times}, {"first", first}};
+  }
+  for (const Second& s : r.timeline) {
+    timeline.push_back({{"second", s.second},
+                        {"asked", s.asked},
+                        {"worth", round(s.worth)},
+                        {"p50_ms", round(s.p50)},
+                        {"p99_ms", round(s.p99)},
+                        {"origin", s.origin},
+                        {"members", s.member_load}});
+  }
+  for (const auto& one : r.routers) {
+    routers.push_back({{"cpu_us_per_request", round(one.cpu_us_per_request)},
+                       {"peak_mb", round(one.peak_mb)},
+                       {"descriptors", one.descriptors}});
+  }
+  for (const auto& mark : r.marks) marks.push_back({{"at_s", world::Seconds(mark.at)}, {"what", mark.text}});
+  json all{{"scenario", r.scenario},
+           {"seed", r.seed},
+           {"worth",
+            {{"figure", round(r.worth)},
+             {"whole", round(r.whole)},
+             {"worst_window", round(r.worst_window)},
+             {"worst_class", round(r.worst_class)},
+             {"worst_tenant", round(r.worst_tenant)},
+             {"waste", round(r.waste)}}},
+           {"broken", r.broken},
+           {"rules", rules},
+           {"classes", groups(r.classes)},
+           {"tenants", groups(r.tenants)},
+           {"attempts_per_request", round(r.attempts_per_request)},
+           {"crossings_per_request", round(r.crossings_per_request)},
+           {"origin_load", round(r.origin_load)},
+           {"routers", routers},
+           {"events", marks},
+           {"timeline", timeline}};
+  return all.dump(2);
+}
+
+std::string Verdict(const DayResult& r) {
+  std::string text = fmt::format(
+      "{}  seed {}  worth {:.3f}  (whole {:.3f}, worst 10 s {:.3f}, worst class {:.3f}, worst tenant {:.3f}, "
+      "waste {:.3f})\n",
+      r.scenario, r.seed, r.worth, r.whole, r.worst_window, r.worst_class, r.worst_tenant, r.waste);
+  for (const GroupResult& g : r.classes) {
+    text += fmt::format("  {:<16} asked {:>6}  in time {:5.1f} %  late {:>4}  rejected {:>4}  failed {:>4}  "
+                        "p50 {:.0f}  p99 {:.0f} ms\n",
+                        g.name, g.asked, 100.0 * static_cast<double>(g.in_time) / std::max<double>(1, static_cast<double>(g.asked)),
+                        g.late, g.rejected, g.failed, g.latency.p50, g.latency.p99);
+  }
+  text += fmt::format("  attempts a request {:.3f}, crossings {:.3f}, origin at {:.0f} % of its capacity\n",
+                      r.attempts_per_request, r.crossings_per_request, 100 * r.origin_load);
+  if (r.broken == 0) return text + "  no rule broken\n";
+  for (const auto& rule : r.rules) {
+    if (rule.count.times == 0) continue;
+    const Referee::Breach& one = rule.count.first.front();
+    text += fmt::format("  BROKEN {}: {} times, first at {:.2f} s: {} {} {}\n", rule.name, rule.count.times,
+                        world::Seconds(one.at), one.request, one.member, one.what);
+  }
+  return text;
+}
+
+}  // namespace peatbend::lab
--- /dev/null
+++ b/src/lab/tally.h
@@ -0,0 +1,92 @@
+// What a day was worth: each planned request counted once, whatever its client's retries, with its time from
+// the moment at which the client meant to send it (no coordinated omission).
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/plan.h"
+#include "lab/referee.h"
+
+namespace peatbend::lab {
+
+struct Latencies {
+  double p50 = 0, p90 = 0, p99 = 0, p999 = 0;  // ms; at most 1 % off
+};
+
+// Times on a logarithmic axis, at most 1 % off, from 10 us to 100 s.
+class LatencyHistogram {
+ public:
+  LatencyHistogram();
+  ~LatencyHistogram();
+  LatencyHistogram(LatencyHistogram&&) noexcept;
+  void Add(double ms);
+  Latencies Read() const;
+
+ private:
+  struct Axis;
+  std::unique_ptr<Axis> axis_;
+};
+
+struct Outcome {
+  enum class What { kOpen, kServed, kRejected, kFailed };
+  What what = What::kOpen;
+  Time at{};
+  int tries = 0;
+};
+
+struct GroupResult {
+  std::string name;
+  std::uint64_t asked = 0, in_time = 0, late = 0, rejected = 0, failed = 0;
+  double worth = 0;  // share of what was asked for
+  Latencies latency;
+};
+
+struct Second {
+  int second = 0;
+  std::uint64_t asked = 0;  // planned in it
+  double worth = 0;
+  double p50 = 0, p99 = 0;
+  std::uint64_t origin = 0;          // requests that the origin took
+  std::vector<double> member_load;   // requests that each place took
+};
+
+struct DayResult {
+  std::string scenario;
+  std::uint64_t seed = 0;
+  // The brief's mix: 60 % the whole run, 10 % the worst 10 s, 20 % the worst class, 10 % the worst tenant, less
+  // 0.16 for each request that crosses data centres once and 0.3 for work wasted as a share of work asked for.
+  double worth = 0;
+  double whole = 0, worst_window = 0, worst_class = 0, worst_tenant = 0, waste = 0;
+  std::vector<GroupResult> classes, tenants;
+  double attempts_per_request = 0, crossings_per_request = 0, origin_load = 0;
+  std::vector<Second> timeline;
+  struct Router {
+    double cpu_us_per_request = 0, peak_mb = 0;
+    int descriptors = 0;
+  };
+  std::vector<Router> routers;
+  struct RuleResult {
+    std::string name;
+    Referee::Count count;
+  };
+  std::vector<RuleResult> rules;
+  std::uint64_t broken = 0;
+  std::vector<Scenario::Mark> marks;
+};
+
+struct WorldCounts {  // by second
+  std::vector<std::uint64_t> origin;
+  std::vector<std::vector<double>> members;
+  Span worked{}, wasted{};
+};
+
+DayResult Reckon(const Scenario& scenario, std::uint64_t seed, const Plan& plan,
+                 const std::vector<Outcome>& outcomes, const Referee& referee, const WorldCounts& counts);
+std::string ToJson(const DayResult& result);
+// A few lines for a terminal.
+std::string Verdict(const DayResult& result);
+
+}  // namespace peatbend::lab
