Put the world behind sockets: stand-ins, real router processes, clients

Change: src/standin (RESP members, the HTTP origin and discovery on evhttp, ports that refuse or fall silent, one event loop tied to the world's agenda), router processes with their signals, clients that keep connections and read answers on their own.

--- a/src/lab/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -123,9 +123,9 @@
   --open_;
 }
 
-void Crowd::RouterDown(int router) {
+void Crowd::RouterDown(int router, Span notices) {
   auto r = static_cast<std::size_t>(router);
-  agenda_.In(world::FromSeconds(scenario_.front_notices_s), [this, r, turn = ++front_turn_[r]] {
+  agenda_.In(notices, [this, r, turn = ++front_turn_[r]] {
     if (turn == front_turn_[r]) known_down_[r] = true;
   });
 }
--- a/src/lab/crowd.h
+++ b/src/lab/crowd.h
@@ -46,7 +46,7 @@
   void Cut(const Try& one);
 
   // What the front knows of routers; it notices late.
-  void RouterDown(int router);
+  void RouterDown(int router, Span notices);
   void RouterUp(int router);
 
   const std::vector<Outcome>& outcomes() const { return outcomes_; }
--- /dev/null
+++ b/src/lab/dial.cpp
@@ -0,0 +1,24 @@
+#include "lab/dial.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+
+namespace peatbend::lab {
+
+net::BuffereventPtr Dial(event_base* base, const std::string& address) {
+  std::size_t colon = address.rfind(':');
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
+  to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+  net::BuffereventPtr socket(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE));
+  if (socket && bufferevent_socket_connect(socket.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0)
+    socket.reset();
+  if (socket) {
+    int yes = 1;
+    setsockopt(bufferevent_getfd(socket.get()), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  }
+  return socket;
+}
+
+}  // namespace peatbend::lab
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -96,20 +96,21 @@
   Break(Rule::kRouterCrashed, at, "", fmt::format("router {}", router), std::string(how));
 }
 
-std::size_t Referee::Attempt(const std::string& id, int place, int router, Time first_byte) {
+std::size_t Referee::Attempt(const std::string& id, int place, const std::string& name, int router,
+                             Time first_byte) {
   std::size_t number = attempts_.size();
   attempts_.push_back({id, place, false, false, first_byte});
   if (place < 0) {
     ++to_origin_;
     return number;
   }
-  auto leaving = leaving_.find({router, place});
+  auto leaving = leaving_.find({router, name});
   Time told = leaving == leaving_.end() ? Time::max() : leaving->second;
-  if (auto listed = listed_leaving_.find(place); listed != listed_leaving_.end())
+  if (auto listed = listed_leaving_.find(name); listed != listed_leaving_.end())
     told = std::min(told, listed->second);
   Span grace = world::FromMs(scenario_.drain_grace_ms);
   if (told != Time::max() && first_byte > told + grace) {
-    Break(Rule::kSentToDrained, first_byte, id, fmt::format("place {}", place),
+    Break(Rule::kSentToDrained, first_byte, id, name,
           fmt::format("router {} sent {:.0f} ms after it was told", router, world::Ms(first_byte - told)));
   }
   return number;
@@ -147,19 +148,19 @@
   }
 }
 
-void Referee::Told(int router, int place, bool serves, Time at) {
+void Referee::Told(int router, const std::string& name, bool serves, Time at) {
   if (serves) {
-    leaving_.erase({router, place});
+    leaving_.erase({router, name});
   } else {
-    leaving_.try_emplace({router, place}, at);
+    leaving_.try_emplace({router, name}, at);
   }
 }
 
-void Referee::Listed(int place, bool serves, Time at) {
+void Referee::Listed(const std::string& name, bool serves, Time at) {
   if (serves) {
-    listed_leaving_.erase(place);
+    listed_leaving_.erase(name);
   } else {
-    listed_leaving_.try_emplace(place, at + world::FromSeconds(scenario_.late_drain_told_s));
+    listed_leaving_.try_emplace(name, at + world::FromSeconds(scenario_.late_drain_told_s));
   }
 }
 
--- a/src/lab/referee.h
+++ b/src/lab/referee.h
@@ -62,16 +62,17 @@
   void RouterEnded(int router, Time at);
   void RouterCrashed(int router, Time at, std::string_view how);
 
-  // From servers. An attempt's first byte came; `place` is -1 at the origin. The number names the attempt.
-  std::size_t Attempt(const std::string& id, int place, int router, Time first_byte);
+  // From servers. An attempt's first byte came at the server of this name; `place` is -1 at the origin. The
+  // number names the attempt.
+  std::size_t Attempt(const std::string& id, int place, const std::string& name, int router, Time first_byte);
   void AttemptWhole(std::size_t attempt, Time last_byte, int zone);
   // The server has proved that nothing ran: turned away, or no value there.
   void AttemptNeverRan(std::size_t attempt) { attempts_[attempt].never_ran = true; }
 
-  // From discovery: it has told the router that the server at this place is leaving (or serves).
-  void Told(int router, int place, bool serves, Time at);
+  // From discovery: it has told the router that the server is leaving (or serves).
+  void Told(int router, const std::string& name, bool serves, Time at);
   // It is listed so from now on, told or not: counts as told after some seconds.
-  void Listed(int place, bool serves, Time at);
+  void Listed(const std::string& name, bool serves, Time at);
   void Fell(int place, Time at);
   void OriginFell(double cold_share, Time at);
 
@@ -113,8 +114,8 @@
   std::unordered_map<std::string, Try> tries_;
   std::vector<Sending> attempts_;
   std::array<Count, kRules> counts_;
-  std::map<std::pair<int, int>, Time> leaving_;  // router and place: told so at
-  std::map<int, Time> listed_leaving_;           // place: told so at the latest
+  std::map<std::pair<int, std::string>, Time> leaving_;  // router and server: told so at
+  std::map<std::string, Time> listed_leaving_;           // told so at the latest
   std::uint64_t crossings_ = 0, to_origin_ = 0;
 };
 
--- /dev/null
+++ b/src/lab/socket_run.cpp
@@ -0,0 +1,335 @@
+#include "lab/socket_run.h"
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <unordered_map>
+
+#include "lab/client_sockets.h"
+#include "lab/dial.h"
+#include "lab/router_process.h"
+#include "lab/warm.h"
+#include "standin/discovery_standin.h"
+#include "standin/member_standin.h"
+#include "standin/origin_standin.h"
+
+namespace peatbend::lab {
+namespace {
+
+using standin::Pulse;
+using world::FromMs;
+using world::FromSeconds;
+using world::Listing;
+
+constexpr Span kOldDiscovery = std::chrono::milliseconds(1500);
+constexpr Span kFrontAtStop = std::chrono::milliseconds(300);  // it is told of a planned stop
+constexpr auto kReadyWithin = std::chrono::seconds(20);
+constexpr auto kSampleEvery = std::chrono::milliseconds(500);
+
+net::EventBasePtr NewLoop() {
+  event_config* options = event_config_new();
+  event_config_set_flag(options, EVENT_BASE_FLAG_PRECISE_TIMER | EVENT_BASE_FLAG_NO_CACHE_TIME);
+  net::EventBasePtr base(event_base_new_with_config(options));
+  event_config_free(options);
+  return base;
+}
+
+void RaiseDescriptors() {
+  rlimit files{};
+  getrlimit(RLIMIT_NOFILE, &files);
+  files.rlim_cur = files.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &files);
+}
+
+class SocketDay : public Carrier, public standin::Witness {
+ public:
+  SocketDay(const Scenario& scenario, std::uint64_t seed, const SocketOptions& options)
+      : scenario_(scenario),
+        seed_(seed),
+        options_(options),
+        loop_(NewLoop()),
+        pulse_(loop_.get()),
+        plan_(DrawPlan(scenario, seed)),
+        fleet_(pulse_.agenda, scenario.fleet, seed),
+        referee_(scenario),
+        crowd_(pulse_.agenda, scenario, plan_, referee_, *this, seed),
+        clients_(pulse_, scenario, plan_, referee_),
+        tries_(static_cast<std::size_t>(scenario.routers)),
+        lives_(static_cast<std::size_t>(scenario.routers)),
+        on_child_(loop_.get(), SIGCHLD, [this] { Reap(); }),
+        probe_(loop_.get(), [this] { Probe(); }),
+        sample_(loop_.get(), [this] { Sample(); }) {
+    clients_.Attach(crowd_);
+    std::vector<int> zones;
+    for (int r = 0; r < scenario.routers; ++r) zones.push_back(RouterZone(scenario, r));
+    for (int place = 0; place < fleet_.places(); ++place)
+      members_.push_back(std::make_unique<standin::MemberStandin>(pulse_, fleet_, place, zones, *this));
+    origin_ = std::make_unique<standin::OriginStandin>(pulse_, fleet_, zones, *this);
+    discovery_ = std::make_unique<standin::DiscoveryStandin>(
+        pulse_, fleet_, scenario.routers,
+        [this](int place, int router) {
+          return place < 0 ? origin_->AddressFor(router)
+                           : members_[static_cast<std::size_t>(place)]->AddressFor(router);
+        },
+        *this);
+    Wire();
+    FillCaches(fleet_, scenario, plan_);
+    fleet_.Plan(scenario.troubles);
+    for (const RouterEvent& event : scenario.router_events) PlanRouters(event);
+    for (const Strangers& strangers : scenario.strangers) clients_.Let(strangers);
+    for (int r = 0; r < scenario.routers; ++r) {
+      std::string host = standin::LoopbackHost(10 + r, 0, 4);
+      std::string address = fmt::format("{}:{}", host, FreePort(host));
+      routers_.push_back(std::make_unique<RouterProcess>(options.router, options.own_config,
+                                                         fmt::format("{}/router-{}", options.folder, r), address));
+      clients_.RouterAt(r, address);
+    }
+  }
+  ~SocketDay() override {
+    discovery_->EndWatches();
+    members_.clear();
+  }
+
+  DayResult Run() {
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      Configure(static_cast<int>(r));
+      routers_[r]->Start();
+      Await(r);
+    }
+    auto limit = std::chrono::steady_clock::now() + kReadyWithin;
+    while (!waiting_.empty()) {
+      event_base_loop(loop_.get(), EVLOOP_ONCE);
+      if (!problem_.empty()) throw std::runtime_error(problem_);
+      if (std::chrono::steady_clock::now() > limit)
+        throw std::runtime_error("router " + std::to_string(waiting_.begin()->first) +
+                                 " did not answer PING; its log is in " + options_.folder);
+    }
+    crowd_.Start();
+    Span longest{};
+    for (const ClassOfRequests& cls : scenario_.classes) longest = std::max(longest, Span(cls.rules.deadline));
+    pulse_.agenda.At(scenario_.lasts + longest + FromMs(scenario_.grace_ms + 300),
+                     [this] { event_base_loopbreak(loop_.get()); });
+    for (int second = 1; options_.progress && FromSeconds(second) <= scenario_.lasts; ++second) {
+      pulse_.agenda.At(FromSeconds(second), [this, second] {
+        auto planned = std::ranges::count_if(plan_.requests, [&](const Planned& p) { return p.at < FromSeconds(second); });
+        options_.progress(second, static_cast<std::uint64_t>(planned), crowd_.open());
+      });
+    }
+    sample_.Set(kSampleEvery);
+    pulse_.Begin();
+    event_base_dispatch(loop_.get());
+    Sample();
+    DayResult result = Reckon(scenario_, seed_, plan_, crowd_.outcomes(), referee_, counter_.Read(fleet_));
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      auto used = routers_[r]->Used();
+      result.routers.push_back({1e6 * used.cpu_s / std::max<double>(1, static_cast<double>(tries_[r])), used.peak_mb,
+                                used.descriptors});
+    }
+    result.worst_lag_ms = world::Ms(pulse_.worst_lag);
+    return result;
+  }
+
+  // From the crowd.
+  void Send(const Try& one) override {
+    known_[one.id] = {one.request, one.idempotency};
+    ++tries_[static_cast<std::size_t>(one.router)];
+    clients_.Send(one);
+  }
+
+  // From the stand-ins.
+  std::optional<world::Ask> Know(std::string_view id, std::string_view key, bool write) override {
+    auto found = known_.find(std::string(id));
+    if (found == known_.end()) return std::nullopt;
+    const Planned& planned = plan_.requests[found->second.request];
+    const ClassOfRequests& cls = scenario_.classes[static_cast<std::size_t>(planned.cls)];
+    if (key != plan_.keys[static_cast<std::size_t>(planned.key)] || write != cls.write) return std::nullopt;
+    world::Ask ask;
+    ask.id = id;
+    ask.key = key;
+    ask.idempotency = found->second.idempotency;
+    ask.write = write;
+    ask.work = FromMs(planned.work_ms);
+    ask.bytes = scenario_.value_bytes;
+    return ask;
+  }
+  std::size_t Begun(std::string_view id, int place, int router, Time first_byte) override {
+    counter_.Count(place, pulse_.agenda.now());
+    return referee_.Attempt(std::string(id), place, place < 0 ? "origin" : fleet_.server(place).name(), router,
+                            first_byte);
+  }
+  void Whole(std::size_t attempt, int place) override {
+    referee_.AttemptWhole(attempt, pulse_.agenda.now(), place < 0 ? 0 : fleet_.server(place).zone());
+  }
+  void NeverRan(std::size_t attempt) override { referee_.AttemptNeverRan(attempt); }
+  std::string Value(std::string_view key, std::string_view id, std::string_view server) override {
+    return MakeValue(key, id, server, scenario_.value_bytes);
+  }
+  void Told(int router, const Listing& listing) override {
+    referee_.Told(router, listing.name, listing.status == Listing::Status::kServing, pulse_.agenda.now());
+  }
+
+ private:
+  struct Known {
+    std::size_t request;
+    std::string idempotency;
+  };
+  // A router that was started and has not answered PING yet.
+  struct Awaited {
+    net::BuffereventPtr socket;
+    bool day = false;  // started again in the day
+  };
+  struct Life {
+    bool expected = false;  // its end is the day's doing
+    bool planned = false;   // SIGTERM: it must end with 0
+    Span back{};
+  };
+
+  void Wire() {
+    fleet_.on_change = [this](int place, world::Change change) {
+      members_[static_cast<std::size_t>(place)]->Changed(change);
+    };
+    fleet_.on_fall = [this](int place) { referee_.Fell(place, pulse_.agenda.now()); };
+    fleet_.on_origin_fall = [this](double share) { referee_.OriginFell(share, pulse_.agenda.now()); };
+    fleet_.discovery().on_change = [this](const Listing& listing) {
+      referee_.Listed(listing.name, listing.status == Listing::Status::kServing, pulse_.agenda.now());
+      discovery_->Changed(listing);
+    };
+    fleet_.discovery().on_down = [this] { discovery_->EndWatches(); };
+    fleet_.on_discovery_move = [this] {
+      discovery_->Move(kOldDiscovery);
+      for (std::size_t r = 0; r < routers_.size(); ++r) {
+        Configure(static_cast<int>(r));
+        routers_[r]->Signal(SIGHUP);
+      }
+    };
+  }
+
+  void Configure(int r) {
+    auto& router = *routers_[static_cast<std::size_t>(r)];
+    nlohmann::json config{{"name", fmt::format("n{}", r)},
+                          {"listen", router.address()},
+                          {"discovery", discovery_->AddressFor(r)},
+                          {"seed", fmt::format("{:x}", seed_ * 100 + static_cast<std::uint64_t>(r))},
+                          {"limits", {{"cores", 1.0}, {"memory_mb", scenario_.memory_mb}, {"sockets", scenario_.sockets}}},
+                          {"known", nlohmann::json::parse(discovery_->Whole(r))},
+                          {"settings", nlohmann::json::parse(SettingsJson(scenario_, r))}};
+    router.Write(config.dump());
+  }
+
+  void PlanRouters(const RouterEvent& event) {
+    for (std::size_t i = 0; i < event.routers.size(); ++i) {
+      auto r = static_cast<std::size_t>(event.routers[i]);
+      pulse_.agenda.At(event.at + static_cast<int>(i) * event.every, [this, r, event] {
+        if (!routers_[r]->running()) return;
+        Sample();
+        if (event.what == RouterEvent::What::kHup) {
+          Configure(static_cast<int>(r));
+          return routers_[r]->Signal(SIGHUP);
+        }
+        bool planned = event.what == RouterEvent::What::kTerm;
+        lives_[r] = {true, planned, event.back};
+        if (!planned) referee_.RouterEnded(static_cast<int>(r), pulse_.agenda.now());
+        routers_[r]->Signal(planned ? SIGTERM : SIGKILL);
+        crowd_.RouterDown(static_cast<int>(r), planned ? kFrontAtStop : FromSeconds(scenario_.front_notices_s));
+      });
+    }
+  }
+
+  void Reap() {
+    Pulse::Beat beat(pulse_);
+    for (std::size_t r = 0; r < routers_.size(); ++r) {
+      int status = 0;
+      if (!routers_[r]->running() || waitpid(routers_[r]->pid(), &status, WNOHANG) != routers_[r]->pid()) continue;
+      routers_[r]->Ended();
+      std::string how = WIFEXITED(status) ? fmt::format("exit status {}", WEXITSTATUS(status))
+                                          : fmt::format("signal {}", WTERMSIG(status));
+      Life life = std::exchange(lives_[r], {});
+      if (waiting_.contains(static_cast<int>(r))) problem_ = fmt::format("router {} ended at its start: {}", r, how);
+      bool fine = life.expected && (!life.planned || (WIFEXITED(status) && WEXITSTATUS(status) == 0));
+      if (!fine) referee_.RouterCrashed(static_cast<int>(r), pulse_.agenda.now(), how);
+      if (!life.expected) {
+        crowd_.RouterDown(static_cast<int>(r), FromSeconds(scenario_.front_notices_s));
+        continue;  // it stays down: the rule is broken
+      }
+      pulse_.agenda.In(life.back, [this, r] {
+        Configure(static_cast<int>(r));
+        routers_[r]->Start();
+        Await(r);
+        waiting_[static_cast<int>(r)].day = true;
+      });
+    }
+  }
+
+  void Await(std::size_t r) {
+    waiting_[static_cast<int>(r)] = {};
+    probe_.Set(std::chrono::milliseconds(20));
+  }
+
+  // Asks each router that is awaited for PING, on a connection of its own each time.
+  void Probe() {
+    Pulse::Beat beat(pulse_);
+    for (auto at = waiting_.begin(); at != waiting_.end();) {
+      auto& [r, awaited] = *at;
+      if (awaited.socket) {
+        evbuffer* in = bufferevent_get_input(awaited.socket.get());
+        if (net::Contents(in).starts_with("+PONG")) {
+          if (awaited.day) crowd_.RouterUp(r);
+          at = waiting_.erase(at);
+          continue;
+        }
+      }
+      awaited.socket = Dial(loop_.get(), routers_[static_cast<std::size_t>(r)]->address());
+      if (awaited.socket) {
+        bufferevent_enable(awaited.socket.get(), EV_READ | EV_WRITE);
+        bufferevent_write(awaited.socket.get(), "*1\r\n$4\r\nPING\r\n", 14);
+      }
+      ++at;
+    }
+    if (!waiting_.empty()) probe_.Set(std::chrono::milliseconds(50));
+  }
+
+  void Sample() {
+    for (auto& router : routers_) router->Sample();
+    sample_.Set(kSampleEvery);
+  }
+
+  const Scenario& scenario_;
+  std::uint64_t seed_;
+  const SocketOptions& options_;
+  net::EventBasePtr loop_;
+  Pulse pulse_;
+  Plan plan_;
+  world::Fleet fleet_;
+  Referee referee_;
+  Crowd crowd_;
+  ClientSockets clients_;
+  LoadCounter counter_;
+  std::unordered_map<std::string, Known> known_;
+  std::vector<std::uint64_t> tries_;
+  std::vector<Life> lives_;
+  std::map<int, Awaited> waiting_;
+  std::string problem_;
+  std::vector<std::unique_ptr<standin::MemberStandin>> members_;
+  std::unique_ptr<standin::OriginStandin> origin_;
+  std::unique_ptr<standin::DiscoveryStandin> discovery_;
+  std::vector<std::unique_ptr<RouterProcess>> routers_;
+  net::Signal on_child_;
+  net::Timer probe_, sample_;
+};
+
+}  // namespace
+
+DayResult RunOnSockets(const Scenario& scenario, std::uint64_t seed, const SocketOptions& options) {
+  RaiseDescriptors();
+  std::signal(SIGPIPE, SIG_IGN);
+  std::filesystem::create_directories(options.folder);
+  return SocketDay(scenario, seed, options).Run();
+}
+
+}  // namespace peatbend::lab
--- a/src/lab/tally.cpp
+++ b/src/lab/tally.cpp
@@ -201,6 +201,7 @@
            {"attempts_per_request", round(r.attempts_per_request)},
            {"crossings_per_request", round(r.crossings_per_request)},
            {"origin_load", round(r.origin_load)},
+           {"worst_lag_ms", round(r.worst_lag_ms)},
            {"routers", routers},
            {"events", marks},
            {"timeline", timeline}};
@@ -220,6 +221,13 @@
   }
   text += fmt::format("  attempts a request {:.3f}, crossings {:.3f}, origin at {:.0f} % of its capacity\n",
                       r.attempts_per_request, r.crossings_per_request, 100 * r.origin_load);
+  for (const auto& one : r.routers) {
+    text += fmt::format("  router: {:.1f} us of CPU a request, peak {:.1f} MB, {} descriptors\n",
+                        one.cpu_us_per_request, one.peak_mb, one.descriptors);
+  }
+  if (r.worst_lag_ms > 50) {
+    text += fmt::format("  the lab was {:.0f} ms late once: the machine is too busy for exact figures\n", r.worst_lag_ms);
+  }
   if (r.broken == 0) return text + "  no rule broken\n";
   for (const auto& rule : r.rules) {
     if (rule.count.times == 0) continue;
--- a/src/lab/tally.h
+++ b/src/lab/tally.h
@@ -75,6 +75,7 @@
   std::vector<RuleResult> rules;
   std::uint64_t broken = 0;
   std::vector<Scenario::Mark> marks;
+  double worst_lag_ms = 0;  // how far the lab itself was behind at the worst; 0 in simulated time
 };
 
 struct WorldCounts {  // by second
--- a/src/lab/virtual_run.cpp
+++ b/src/lab/virtual_run.cpp
@@ -158,7 +158,7 @@
     fleet.on_fall = [this](int place) { referee.Fell(place, agenda.now()); };
     fleet.on_origin_fall = [this](double share) { referee.OriginFell(share, agenda.now()); };
     fleet.discovery().on_change = [this](const Listing& listing) {
-      referee.Listed(listing.place, listing.status == Listing::Status::kServing, agenda.now());
+      referee.Listed(listing.name, listing.status == Listing::Status::kServing, agenda.now());
       for (auto& router : routers) router->Changed(listing);
     };
     auto lost = [this] {
@@ -177,7 +177,7 @@
         auto& router = *routers[static_cast<std::size_t>(number)];
         referee.RouterEnded(number, agenda.now());
         router.Kill();
-        crowd.RouterDown(number);
+        crowd.RouterDown(number, event.what == RouterEvent::What::kTerm ? FromMs(300) : world::FromSeconds(scenario.front_notices_s));
         agenda.In(event.back, [this, number] {
           routers[static_cast<std::size_t>(number)]->Start();
           crowd.RouterUp(number);
@@ -223,7 +223,7 @@
     entry.zone = listing.zone;
     if (listing.started != Time{}) entry.started = At(listing.started);
     places_[listing.name] = listing.place;
-    if (scope != Scope::kCached) day_.referee.Told(number_, listing.place, serves, day_.agenda.now());
+    if (scope != Scope::kCached) day_.referee.Told(number_, listing.name, serves, day_.agenda.now());
     if (!serves) idle_.erase(listing.place);
     entries.push_back(entry);
   }
@@ -409,7 +409,7 @@
     if (dead) Later(way, [this, attempt] { Ended(attempt, Result::kReset); });
     return;  // cut: silence
   }
-  attempt->seen = day_.referee.Attempt(one.id, attempt->place, number_, day_.agenda.now());
+  attempt->seen = day_.referee.Attempt(one.id, attempt->place, attempt->member, number_, day_.agenda.now());
   day_.referee.AttemptWhole(attempt->seen, day_.agenda.now(), zone);
   day_.counter.Count(attempt->place, day_.agenda.now());
   world::Ask ask;
--- a/src/world/agenda.h
+++ b/src/world/agenda.h
@@ -22,7 +22,8 @@
 
 class Agenda {
  public:
-  Agenda() = default;
+  // `start`: the first now(); before zero, while a day is being prepared.
+  explicit Agenda(Time start = {}) : now_(start) {}
   Agenda(const Agenda&) = delete;
   Agenda& operator=(const Agenda&) = delete;
 
@@ -53,7 +54,7 @@
       return when != other.when ? when > other.when : order > other.order;
     }
   };
-  Time now_{};
+  Time now_;
   std::uint64_t next_ = 0;
   std::priority_queue<Thing> things_;
 };
--- a/src/world/discovery.h
+++ b/src/world/discovery.h
@@ -84,7 +84,7 @@
   std::map<std::string, Listing> list_;
   std::map<std::string, Time> due_;
   std::int64_t version_ = 0;
-  Time busy_until_{};
+  Time busy_until_ = Time::min();
   bool down_ = false;
 };
 
