--- /dev/null
+++ b/src/lab/compare.h
@@ -0,0 +1,32 @@
+// Two ways compared on the same days: pairs of runs with one seed each, and the difference with its 95 % interval
+// (Student's t over the pairs).
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "lab/tally.h"
+
+namespace peatbend::lab {
+
+struct Difference {
+  std::string name;
+  double mean_a = 0, mean_b = 0, difference = 0, half_width = 0;  // b - a, and the interval's half
+  bool clear() const { return difference - half_width > 0 || difference + half_width < 0; }
+};
+
+struct Comparison {
+  int pairs = 0;
+  std::vector<Difference> differences;
+  std::uint64_t broken_a = 0, broken_b = 0;
+};
+
+// `pairs` at least 2.
+using RunDay = std::function<DayResult(std::uint64_t seed)>;
+Comparison Compare(const RunDay& a, const RunDay& b, int pairs, std::uint64_t first_seed);
+// The mean of the values with the half width of its 95 % interval.
+Difference Interval(const std::string& name, const std::vector<double>& a, const std::vector<double>& b);
+std::string Describe(const Comparison& comparison);
+
+}  // namespace peatbend::lab
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -42,6 +42,7 @@
   one.key = key;
   one.cls = cls;
   one.router = router;
+  one.excused = ended_.contains(router);
   one.until = at + waits + world::FromMs(scenario_.grace_ms);
 }
 
@@ -86,7 +87,9 @@
   if (auto found = tries_.find(id); found != tries_.end()) found->second.over = true;
 }
 
-void Referee::RouterEnded(int router, Time) {
+// What reaches it between the signal and its end is excused as well.
+void Referee::RouterEnded(int router) {
+  ended_.insert(router);
   for (auto& [id, one] : tries_) {
     if (one.router == router && !one.over) one.excused = true;
   }
--- a/src/lab/referee.h
+++ b/src/lab/referee.h
@@ -17,6 +17,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -59,7 +60,8 @@
   // The connection could not be had, or ended before the router took the request: nothing is owed.
   void NotTaken(const std::string& id);
   // The router was ended by the day: what it held is excused.
-  void RouterEnded(int router, Time at);
+  void RouterEnded(int router);
+  void RouterBack(int router) { ended_.erase(router); }
   void RouterCrashed(int router, Time at, std::string_view how);
 
   // From servers. An attempt's first byte came at the server of this name; `place` is -1 at the origin. The
@@ -116,6 +118,7 @@
   std::array<Count, kRules> counts_;
   std::map<std::pair<int, std::string>, Time> leaving_;  // router and server: told so at
   std::map<std::string, Time> listed_leaving_;           // told so at the latest
+  std::set<int> ended_;  // routers that the day has ended and not started again
   std::uint64_t crossings_ = 0, to_origin_ = 0;
 };
 
--- a/src/lab/tally.cpp
+++ b/src/lab/tally.cpp
@@ -37,6 +37,7 @@
 LatencyHistogram::LatencyHistogram() : axis_(std::make_unique<Axis>()) {}
 LatencyHistogram::~LatencyHistogram() = default;
 LatencyHistogram::LatencyHistogram(LatencyHistogram&&) noexcept = default;
+LatencyHistogram& LatencyHistogram::operator=(LatencyHistogram&&) noexcept = default;
 void LatencyHistogram::Add(double ms) { axis_->counts(std::clamp(ms, kLeastMs, kMostMs * 0.999)); }
 
 Latencies LatencyHistogram::Read() const {
--- a/src/lab/tally.h
+++ b/src/lab/tally.h
@@ -22,6 +22,7 @@
   LatencyHistogram();
   ~LatencyHistogram();
   LatencyHistogram(LatencyHistogram&&) noexcept;
+  LatencyHistogram& operator=(LatencyHistogram&&) noexcept;
   void Add(double ms);
   Latencies Read() const;
 
--- a/src/lab/virtual_run.cpp
+++ b/src/lab/virtual_run.cpp
@@ -175,11 +175,12 @@
       agenda.At(event.at + static_cast<int>(i) * event.every, [this, number, event] {
         // A planned stop answers what it took; the virtual one is simply away for clients that come later.
         auto& router = *routers[static_cast<std::size_t>(number)];
-        referee.RouterEnded(number, agenda.now());
+        referee.RouterEnded(number);
         router.Kill();
         crowd.RouterDown(number, event.what == RouterEvent::What::kTerm ? FromMs(300) : world::FromSeconds(scenario.front_notices_s));
         agenda.In(event.back, [this, number] {
           routers[static_cast<std::size_t>(number)]->Start();
+          referee.RouterBack(number);
           crowd.RouterUp(number);
         });
       });
