Write to sockets at once where nothing waits; end the laboratory's leaks

Need: a bufferevent's write costs two changes of the epoll set and a turn of the loop; a member's connection was asked for stray bytes twice a request. Under the sanitizers the laboratory's stand-ins leaked attempts whose job held its answer in a circle.

Change: WriteNow hands bytes to a connected socket with nothing queued before them, the rest goes the bufferevent's way; a session that waits to hear that all is written still writes by it. Answers that are ready go out as one piece. The second look for stray bytes (when the connection is taken for the next request) alone stays.

--- a/src/base/event_handles.h
+++ b/src/base/event_handles.h
@@ -46,6 +46,16 @@
   return {static_cast<time_t>(micros.count() / 1000000), static_cast<suseconds_t>(micros.count() % 1000000)};
 }
 
+// Hands what is in `data` to a connected socket at once, where nothing waits before it; what the socket does not
+// take goes the bufferevent's way. Saves the two changes of what the loop waits for and the turn of the loop that
+// a bufferevent's write costs. True if all was taken: then the bufferevent calls nobody back.
+inline bool WriteNow(bufferevent* to, evbuffer* data) {
+  if (evbuffer_get_length(bufferevent_get_output(to)) == 0) evbuffer_write(data, bufferevent_getfd(to));
+  if (evbuffer_get_length(data) == 0) return true;
+  bufferevent_write_buffer(to, data);
+  return false;
+}
+
 // Calls `then` once each time it is set. May be destroyed from within `then`, which is copied for the call.
 class Timer {
  public:
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -162,13 +162,23 @@
   Flush();
 }
 
-// Writes the answers that are there, up to the first that is not.
+// Writes the answers that are there, up to the first that is not, as one piece.
 void ClientSession::Flush() {
-  while (!owed_.empty() && owed_.front().answer) {
-    bufferevent_write_buffer(socket_.get(), owed_.front().answer.get());
+  if (owed_.empty() || !owed_.front().answer) return;
+  BufferPtr out = std::move(owed_.front().answer);
+  for (;;) {
     owed_.pop_front();
     ++first_;
-    quiet_since_ = clock_.Now();
+    if (owed_.empty() || !owed_.front().answer) break;
+    evbuffer_add_buffer(out.get(), owed_.front().answer.get());
+  }
+  quiet_since_ = clock_.Now();
+  // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
+  bool told = closing_ || end_when_idle_ || (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0;
+  if (told) {
+    bufferevent_write_buffer(socket_.get(), out.get());
+  } else {
+    WriteNow(socket_.get(), out.get());
   }
 }
 
--- a/src/lab/virtual_run.cpp
+++ b/src/lab/virtual_run.cpp
@@ -427,10 +427,13 @@
   ask.router = number_;
   ask.work = FromMs(planned.work_ms);
   ask.bytes = day_.scenario.value_bytes;
-  auto answer = [this, attempt, way, life = life_](Verdict verdict) {
+  // Weak: the attempt holds the job, which holds this.
+  std::weak_ptr<Attempt> asks = attempt;
+  auto answer = [this, asks, seen = attempt->seen, way, life = life_](Verdict verdict) {
     if (verdict == Verdict::kBusy || verdict == Verdict::kMiss || verdict == Verdict::kPending)
-      day_.referee.AttemptNeverRan(attempt->seen);
-    if (life == life_ && up()) Later(way, [this, attempt, verdict] { Answered(attempt, verdict); });
+      day_.referee.AttemptNeverRan(seen);
+    auto held = asks.lock();
+    if (held && life == life_ && up()) Later(way, [this, held, verdict] { Answered(held, verdict); });
   };
   if (origin) {
     attempt->job = day_.fleet.AtOrigin(ask, answer);
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -32,7 +32,10 @@
 void MemberConnection::Begin(Attempt& attempt, const Request& request, Duration limit) {
   attempt_ = &attempt;
   if (connected_) timer_.Stop();
-  codec_->Encode(request, limit, bufferevent_get_output(socket_.get()));
+  if (!connected_) return codec_->Encode(request, limit, bufferevent_get_output(socket_.get()));
+  BufferPtr text = NewBuffer();
+  codec_->Encode(request, limit, text.get());
+  WriteNow(socket_.get(), text.get());
 }
 
 // Asks the socket, since the loop may not have got round to reading what is there.
@@ -57,8 +60,8 @@
     return Break();
   }
   if (auto reply = codec_->Read(bufferevent_get_input(socket_.get()))) {
-    bool keep = codec_->reusable() && written() &&
-                evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0 && Quiet();
+    bool keep =
+        codec_->reusable() && written() && evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0;
     Finish(std::move(*reply), keep);
   }
 }
--- a/src/standin/origin_standin.cpp
+++ b/src/standin/origin_standin.cpp
@@ -61,15 +61,17 @@
     fleet_.origin().Cancel(*job);
   };
   Span way = fleet_.Delay(router_zones_[static_cast<std::size_t>(router)], 0);
-  auto answer = [this, waiting, way, seen, ask = *ask](Verdict verdict) {
+  // Weak: what waits holds the job, which holds this.
+  std::weak_ptr<Waiting> asks = waiting;
+  auto answer = [this, asks, way, seen, ask = *ask](Verdict verdict) {
     bool busy = verdict == Verdict::kBusy;
     if (busy) witness_.NeverRan(seen);
     std::string value = busy ? "" : witness_.Value(ask.key, ask.id, "origin");
-    pulse_.agenda.In(way, [waiting, busy, value] {
-      if (waiting->over()) return;
-      if (busy)
-        evhttp_add_header(evhttp_request_get_output_headers(waiting->request()), "X-Unprocessed", "1");
-      waiting->Answer(busy ? 503 : 200, busy ? "Service Unavailable" : "OK", value);
+    pulse_.agenda.In(way, [asks, busy, value] {
+      auto held = asks.lock();
+      if (!held || held->over()) return;
+      if (busy) evhttp_add_header(evhttp_request_get_output_headers(held->request()), "X-Unprocessed", "1");
+      held->Answer(busy ? 503 : 200, busy ? "Service Unavailable" : "OK", value);
     });
   };
   pulse_.agenda.In(way, [this, waiting, job, ask = *ask, answer] {
