--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -84,7 +85,8 @@
     for (const RouterEvent& event : scenario.router_events) PlanRouters(event);
     for (const Strangers& strangers : scenario.strangers) clients_.Let(strangers);
     for (int r = 0; r < scenario.routers; ++r) {
-      std::string host = standin::LoopbackHost(10 + r, 0, 4);
+      // A host of this process's own: a router that is down must find its port again, whoever else plays a day.
+      std::string host = standin::LoopbackHost(10 + r, 100 + getpid() % 150, 4);
       std::string address = fmt::format("{}:{}", host, FreePort(host));
       routers_.push_back(std::make_unique<RouterProcess>(
           options.router, options.own_config, fmt::format("{}/router-{}", options.folder, r), address));
--- a/src/lab/tally.cpp
+++ b/src/lab/tally.cpp
@@ -225,9 +225,14 @@
   }
   text += fmt::format("  attempts a request {:.3f}, crossings {:.3f}, origin at {:.0f} % of its capacity\n",
                       r.attempts_per_request, r.crossings_per_request, 100 * r.origin_load);
-  for (const auto& one : r.routers) {
-    text += fmt::format("  router: {:.1f} us of CPU a request, peak {:.1f} MB, {} descriptors\n",
-                        one.cpu_us_per_request, one.peak_mb, one.descriptors);
+  if (!r.routers.empty()) {
+    using Router = DayResult::Router;
+    auto [least, most] = std::ranges::minmax(r.routers, {}, &Router::cpu_us_per_request);
+    auto peak = std::ranges::max(r.routers, {}, &Router::peak_mb);
+    auto held = std::ranges::max(r.routers, {}, &Router::descriptors);
+    text += fmt::format(
+        "  {} routers: {:.0f} to {:.0f} us of CPU a request, peak {:.1f} MB, at most {} descriptors\n",
+        r.routers.size(), least.cpu_us_per_request, most.cpu_us_per_request, peak.peak_mb, held.descriptors);
   }
   if (r.worst_lag_ms > 50) {
     text += fmt::format("  the lab was {:.0f} ms late once: the machine is too busy for exact figures\n",
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -2,10 +2,12 @@
 // flow, closed before the member would close them.
 #pragma once
 
+#include <functional>
 #include <list>
-#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/counters.h"
@@ -94,7 +96,11 @@
   const Clock& clock_;
   Log& log_;
   Counters& counters_;
-  std::map<std::string, Member, std::less<>> members_;
+  struct NameHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view name) const { return std::hash<std::string_view>()(name); }
+  };
+  std::unordered_map<std::string, Member, NameHash, std::equal_to<>> members_;  // members stay where they are
 };
 
 }  // namespace peatbend::net
