--- a/src/standin/member_standin.cpp
+++ b/src/standin/member_standin.cpp
@@ -12,6 +12,10 @@
 using world::Time;
 using world::Verdict;
 
+namespace {
+constexpr Span kLossySlice = std::chrono::milliseconds(100);
+}
+
 class MemberStandin::Connection : public std::enable_shared_from_this<MemberStandin::Connection> {
  public:
   Connection(MemberStandin& home, int router, evutil_socket_t socket)
@@ -207,6 +211,7 @@
         pulse.base(), LoopbackHost(10 + static_cast<int>(router), 1 + place / 250, 1 + place % 250),
         [this, router](evutil_socket_t socket) { Accepted(static_cast<int>(router), socket); }));
     if (!fleet.running(place)) ports_.back()->Refuse();
+    if (fleet.traits().lossy_dials > 0) LoseDials(router);
   }
 }
 
@@ -214,9 +219,19 @@
   while (!connections_.empty()) End(*connections_.front());
 }
 
+void MemberStandin::LoseDials(std::size_t router) {
+  Time next = std::max(pulse_.agenda.now(), Time{}) + kLossySlice;  // not before the day begins
+  pulse_.agenda.At(next, [this, router] {
+    if (fleet_.server(place_).state() == world::CacheServer::State::kUp) {
+      fleet_.LosesDial() ? ports_[router]->Silence() : ports_[router]->Speak();
+    }
+    LoseDials(router);
+  });
+}
+
 void MemberStandin::Accepted(int router, evutil_socket_t socket) {
   Pulse::Beat beat(pulse_);
-  if (fleet_.LosesDial() || !fleet_.server(place_).Connect()) return CloseWithReset(socket);
+  if (!fleet_.server(place_).Connect()) return CloseWithReset(socket);
   connections_.push_back(std::make_shared<Connection>(*this, router, socket));
   connections_.back()->self = std::prev(connections_.end());
   // Closed once it has stood idle so long.
--- a/src/standin/member_standin.h
+++ b/src/standin/member_standin.h
@@ -28,6 +28,9 @@
   class Connection;
   void Accepted(int router, evutil_socket_t socket);
   void End(Connection& connection);
+  // Loses the start of that share of the connections, by falling silent for that share of the time: what is lost
+  // comes again only after a second, as the system retransmits it.
+  void LoseDials(std::size_t router);
 
   Pulse& pulse_;
   world::Fleet& fleet_;
--- a/src/standin/port.cpp
+++ b/src/standin/port.cpp
@@ -82,6 +82,14 @@
   }
 }
 
+void Port::Speak() {
+  if (fillers_.empty()) return;
+  for (evutil_socket_t one : fillers_) close(one);
+  fillers_.clear();
+  listen(socket_, kBacklog);
+  event_add(readable_.get(), nullptr);
+}
+
 void Port::Open() {
   Refuse();
   Bind();
--- a/src/standin/port.h
+++ b/src/standin/port.h
@@ -30,7 +30,8 @@
   // As a machine that has vanished: connections never come up. Its queue of connections not accepted is one
   // long and filled by the port itself, so the system drops what asks for more.
   void Silence();
-  void Open();  // again, after either
+  void Open();   // again, after either: what had asked to connect meanwhile is reset
+  void Speak();  // again, after Silence: what asks once more is taken
 
  private:
   void Bind();
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -150,7 +150,7 @@
 
 TEST_CASE("simulated days are the same to the last digit for a seed, and keep the rules") {
   for (const char* name : {"calm", "hang", "pauses", "zone-loss", "zone-dies", "rolling-restart", "churn",
-                           "spoilt", "reload", "origin-stall", "easter"}) {
+                           "spoilt", "reload", "origin-stall", "easter", "lossy"}) {
     Scenario scenario = ReadScenario(std::string(PEATBEND_SOURCE "/scenarios/") + name + ".toml");
     DayResult one = RunVirtually(scenario, 11);
     CAPTURE(Summary(one));
