--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -240,6 +240,8 @@
   void Handle(TimePoint now, const Event& event, std::vector<Action>& actions);
   // Maglev tables built so far, for tests and tools: what a change of the list costs.
   std::uint64_t tables_built() const;
+  // Listed cache servers that get nothing at this time: draining, ejected or left alone.
+  std::size_t avoided(TimePoint now) const;
 
  private:
   class Brain;
--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -6,6 +6,12 @@
 
 namespace peatbend::net {
 
+std::uint64_t Counters::Sum(std::uint64_t OfClass::* count) const {
+  std::uint64_t sum = 0;
+  for (const OfClass& one : classes) sum += one.*count;
+  return sum;
+}
+
 std::vector<std::pair<std::string, std::uint64_t>> Describe(const Counters& c) {
   constexpr std::string_view kResults[] = {"good",  "bad",       "full",       "late", "no_connection",
                                            "reset", "cancelled", "never_sent", "miss"};
@@ -22,11 +28,12 @@
   add("unknown_commands", c.unknown_commands);
   add("transactions", c.transactions);
   add("transactions_gone", c.transactions_gone);
-  add("served", c.served);
-  add("rejected", c.rejected);
-  add("failed", c.failed);
+  add("served", c.Sum(&Counters::OfClass::served));
+  add("rejected", c.Sum(&Counters::OfClass::rejected));
+  add("failed", c.Sum(&Counters::OfClass::failed));
   add("flows", c.flows);
   add("flows_to_origin", c.flows_to_origin);
+  add("dispatches", c.dispatches);
   add("dials", c.dials);
   add("reused", c.reused);
   add("not_sent_no_socket", c.not_sent_no_socket);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <sstream>
 
+#include "base/address.h"
 #include "base/text.h"
 #include "config/file.h"
 
@@ -136,6 +137,10 @@
   attempt("", [&] {
     CheckAddress("discovery", config.discovery = reader.String("BALANCER_DISCOVERY", "discovery", nullptr));
   });
+  attempt("", [&] {
+    config.admin = reader.String("BALANCER_ADMIN", "admin", "");
+    if (!config.admin.empty()) CheckAddress("admin", config.admin);
+  });
   attempt("", [&] { config.seed = reader.Seed(); });
   attempt("", [&] { config.cores = reader.Limit<double>("cores", 1.0, 0.0); });
   attempt("", [&] { config.memory_mb = reader.Limit<std::int64_t>("memory_mb", 192, 16); });
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -29,6 +29,7 @@
 struct Config {
   std::string name = "peatbend";
   std::string listen, discovery;  // ADDRESS:PORT
+  std::string admin;              // the operators' address; empty: none
   std::uint64_t seed = 0;
   double cores = 1;
   std::int64_t memory_mb = 192, sockets = 1024;
--- a/src/config/file.cpp
+++ b/src/config/file.cpp
@@ -32,7 +32,7 @@
  public:
   FileReader(const std::string& name, std::vector<std::string>& faults) : name_(name), faults_(faults) {
     for (const TuningKey& key : TuningKeys()) known_.emplace_back(key.name);
-    for (const char* key : {"name", "listen", "discovery", "seed", "cores", "memory_mb", "sockets"}) {
+    for (const char* key : {"name", "listen", "discovery", "admin", "seed", "cores", "memory_mb", "sockets"}) {
       known_.push_back(std::string("router.") + key);
     }
     for (std::string_view path : DeploymentPaths()) known_.push_back("deployment." + std::string(path));
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -3,9 +3,15 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace peatbend::net {
+namespace {
+constexpr std::size_t kMostMoved = 32 * 1024;  // bytes of a begun command that move to another process
+constexpr Milliseconds kLastLinger{300};  // after a last call, for a client to see the end
+}  // namespace
+
 ClientSession::ClientSession(SessionHome& home, event_base* base, evutil_socket_t socket, Decision& decision,
                              const Settings& settings, const Tuning::Clients& tuning, const Clock& clock,
                              Log& log, Counters& counters)
@@ -105,7 +111,7 @@
     }
     case Kind::kPing:
       ++counters_.pings;
-      Say(decision_.ready() && !end_when_idle_ ? "+PONG\r\n" : "-LOADING not ready\r\n");
+      Say(home_.doors().welcome() ? "+PONG\r\n" : "-LOADING not ready\r\n");
       break;
     case Kind::kPolite:
       Say("+OK\r\n");
@@ -174,7 +180,7 @@
   }
   quiet_since_ = clock_.Now();
   // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
-  bool told = closing_ || end_when_idle_ || (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0;
+  bool told = closing_ || home_.doors().rest() != Doors::Rest::kStays || (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0;
   if (told) {
     bufferevent_write_buffer(socket_.get(), out.get());
   } else {
@@ -188,7 +194,7 @@
     turned_away_ = clock_.Now();
     return;
   }
-  if (end_when_idle_ && idle()) return Leave();
+  if (home_.doors().rest() != Doors::Rest::kStays && at_rest()) return home_.AtRest(*this);
   if (!closing_ && (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0 && !Crowded()) {
     bufferevent_enable(socket_.get(), EV_READ);
     Read();
@@ -201,7 +207,8 @@
 }
 
 TimePoint ClientSession::due() const {
-  if (turned_away_ != TimePoint::max()) return turned_away_ + tuning_.linger;
+  if (turned_away_ != TimePoint::max())
+    return turned_away_ + (last_call_ ? std::min(tuning_.linger, kLastLinger) : tuning_.linger);
   if (closing_) return TimePoint::max();
   if (!asked_) return connected_ + tuning_.first_command;
   if (half_sent()) return begun_ + tuning_.command;
@@ -228,9 +235,38 @@
   return half_sent() && owed_.empty() ? Spare::kHalfSent : Spare::kNeeded;
 }
 
-void ClientSession::EndWhenIdle() {
-  end_when_idle_ = true;
-  if (idle()) Leave();
+bool ClientSession::at_rest() const {
+  return owed_.empty() && !closing_ && evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
+}
+
+void ClientSession::LastCall() {
+  if (closing_) return;
+  last_call_ = closing_ = true;
+  begun_ = TimePoint::max();
+  evbuffer* in = bufferevent_get_input(socket_.get());
+  evbuffer_drain(in, evbuffer_get_length(in));
+  Account();
+  bufferevent_enable(socket_.get(), EV_READ);
+  if (owed_.empty() && evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0) Written();
+}
+
+bool ClientSession::may_move() const {
+  return at_rest() && evbuffer_get_length(bufferevent_get_input(socket_.get())) <= kMostMoved;
+}
+
+evutil_socket_t ClientSession::Release(std::string& begun) {
+  begun.assign(Contents(bufferevent_get_input(socket_.get())));
+  evutil_socket_t socket = bufferevent_getfd(socket_.get());
+  bufferevent_setfd(socket_.get(), -1);
+  return socket;
+}
+
+void ClientSession::Adopt(std::string_view begun, TimePoint begun_at, bool asked) {
+  asked_ = asked;
+  if (begun.empty()) return;
+  connected_ = begun_ = begun_at;
+  evbuffer_prepend(bufferevent_get_input(socket_.get()), begun.data(), begun.size());
+  Read();
 }
 
 }  // namespace peatbend::net
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -11,6 +11,7 @@
 #include "base/log.h"
 #include "base/tuning.h"
 #include "front/client_command.h"
+#include "front/doors.h"
 #include "protocol/request.h"
 #include "protocol/resp.h"
 #include "stage/decision.h"
@@ -27,6 +28,9 @@
   virtual void End(ClientSession& session) = 0;
   // A session holds so many bytes of a command that is not whole, after so many before.
   virtual void Unread(std::size_t before, std::size_t now) = 0;
+  // Nothing is owed on the session, and its connection is not to stay: may destroy it.
+  virtual void AtRest(ClientSession& session) = 0;
+  virtual const Doors& doors() const = 0;
 };
 
 class ClientSession : public AnswerSink {
@@ -42,8 +46,18 @@
 
   // Nothing is owed and nothing has begun to arrive.
   bool idle() const;
-  // Ends the session once it is idle.
-  void EndWhenIdle();
+  // Takes no further command: what is owed is answered, and that is the end.
+  void LastCall();
+  // Nothing is owed, though a command may have begun to arrive.
+  bool at_rest() const;
+  bool asked() const { return asked_; }
+  TimePoint connected() const { return connected_; }
+  // At rest, and what has come is small enough to go with it to another process.
+  bool may_move() const;
+  // Gives up the socket, and what came of a command that is not whole; the session is to be ended then.
+  evutil_socket_t Release(std::string& begun);
+  // A connection that another process began: bytes of a command, and when the first of them came.
+  void Adopt(std::string_view begun, TimePoint begun_at, bool asked);
   // When it has had the time that it may take over what it is doing; max() while it waits for an answer.
   TimePoint due() const;
   // That time has come: a command that is not whole gets its -ERR, all else ends.
@@ -95,7 +109,7 @@
   TimePoint connected_, quiet_since_;         // the latter: nothing owed since
   TimePoint begun_ = TimePoint::max();        // a command that is not whole yet began to arrive; max: none
   TimePoint turned_away_ = TimePoint::max();  // its -ERR was written
-  bool end_when_idle_ = false;
+  bool last_call_ = false;
   BuffereventPtr socket_;
 };
 
--- a/src/front/listener.cpp
+++ b/src/front/listener.cpp
@@ -1,12 +1,11 @@
 #include "front/listener.h"
 
-#include <netinet/in.h>
-#include <unistd.h>
-
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
 
+#include "base/listen.h"
+
 namespace peatbend::net {
 namespace {
 std::size_t Part(std::size_t whole, double share) {
@@ -14,12 +13,17 @@
 }
 
 constexpr auto kSweepEvery = std::chrono::milliseconds(100);
+// While connections close, counted from then or from connecting: what has asked nothing, what asks without a
+// pause and what is not whole are given so long.
+constexpr std::chrono::milliseconds kSilentAway{600}, kLastCall{1500}, kHalfAway{2400};
 }  // namespace
 
-Listener::Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
+Listener::Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision, const Settings& settings,
                    const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread,
                    const Clock& clock, Log& log, Counters& counters)
     : base_(base),
+      doors_(doors),
+      hand_on_(std::move(hand_on)),
       decision_(decision),
       settings_(settings),
       tuning_(tuning),
@@ -31,21 +35,17 @@
       stopped_(base, [this] { then_(); }),
       accept_again_(base,
                     [this] {
-                      if (listener_) evconnlistener_enable(listener_.get());
+                      if (listener_ && accepting_) evconnlistener_enable(listener_.get());
                     }),
       sweep_(base, [this] { Sweep(); }) {
   sweep_.Set(kSweepEvery);
-  sockaddr_storage to{};
-  int size = 0;
-  ReadAddress(address, to, size);
-  listener_.reset(evconnlistener_new_bind(
+  listener_.reset(evconnlistener_new(
       base,
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
         static_cast<Listener*>(self)->Accepted(socket);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-      static_cast<int>(tuning.backlog), reinterpret_cast<sockaddr*>(&to), size));
-  if (!listener_) throw std::runtime_error("cannot listen on " + address + ": " + std::strerror(errno));
+      this, LEV_OPT_CLOSE_ON_FREE, 0, socket));
+  if (!listener_) throw std::runtime_error("no listener");
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
     auto* listener = static_cast<Listener*>(self);
     listener->log_.Line("accept failed", std::strerror(errno));
@@ -59,20 +59,61 @@
   while (!sessions_.empty()) End(*sessions_.back());
 }
 
-int Listener::port() const {
-  sockaddr_in bound{};
-  socklen_t size = sizeof bound;
-  getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&bound), &size);
-  return ntohs(bound.sin_port);
+int Listener::port() const { return PortOf(socket()); }
+
+void Listener::Accept(bool yes) {
+  accepting_ = yes;
+  if (!listener_) return;
+  yes ? evconnlistener_enable(listener_.get()) : evconnlistener_disable(listener_.get());
 }
 
-void Listener::Accepted(evutil_socket_t socket) {
+ClientSession& Listener::Accepted(evutil_socket_t socket) {
   ++counters_.clients_accepted;
   ++sockets_.held;
   sessions_.push_back(std::make_unique<ClientSession>(*this, base_, socket, decision_, settings_, tuning_,
                                                       clock_, log_, counters_));
   sessions_.back()->self = std::prev(sessions_.end());
   if (sessions_.size() > Part(sockets_.most, tuning_.share) || sockets_.held >= sockets_.most) MakeRoom();
+  return *sessions_.back();
+}
+
+void Listener::Adopt(evutil_socket_t socket, std::string_view begun, Duration begun_ago, bool asked) {
+  ClientSession& session = Accepted(socket);
+  session.Adopt(begun, clock_.Now() - begun_ago, asked);
+  if (doors_.rest() != Doors::Rest::kStays && session.at_rest()) AtRest(session);
+}
+
+void Listener::AtRest(ClientSession& session) {
+  switch (doors_.rest()) {
+    case Doors::Rest::kStays:
+      return;
+    case Doors::Rest::kGoesToSuccessor:
+      if (hand_on_(session)) End(session);
+      return;
+    case Doors::Rest::kCloses:
+      if (session.idle() && session.asked()) End(session);  // what has begun to ask is still served
+      return;
+  }
+}
+
+void Listener::EndWhatRests() {
+  for (auto at = sessions_.begin(); at != sessions_.end();) {
+    ClientSession& session = **at++;
+    if (session.at_rest()) AtRest(session);
+  }
+}
+
+// While connections are to close: what has never asked, what goes on asking without a pause and what takes its
+// time over a command each get a little longer, and no more.
+bool Listener::EndIfOver(ClientSession& session, TimePoint now) {
+  TimePoint from = std::max(closing_since_, session.connected());
+  if (session.idle() && (session.asked() || now - from > kSilentAway)) {
+    End(session);
+    return true;
+  }
+  bool half = session.at_rest() && session.half_sent();
+  if (now - from > (half ? kHalfAway : kLastCall)) session.LastCall();
+  return false;
 }
 
 // Closes the session that can best be spared: one that was turned away, has never asked, is between requests
@@ -105,9 +146,17 @@
 // Ends what has had its time.
 void Listener::Sweep() {
   TimePoint now = clock_.Now();
+  Doors::Rest rest = doors_.rest();
+  if (rest != Doors::Rest::kCloses) closing_since_ = TimePoint::max();
+  if (rest == Doors::Rest::kCloses && closing_since_ == TimePoint::max()) closing_since_ = now;
   for (auto at = sessions_.begin(); at != sessions_.end();) {
     ClientSession& session = **at++;
-    if (session.due() <= now) {
+    bool goes = rest == Doors::Rest::kGoesToSuccessor && session.at_rest();
+    if (goes && hand_on_(session)) {
+      End(session);
+    } else if (rest == Doors::Rest::kCloses && EndIfOver(session, now)) {
+      continue;
+    } else if (session.due() <= now) {
       session.Overdue();
     } else if (sessions_.size() > Part(sockets_.most, tuning_.crowded_share) &&
                now - session.quiet_since() > tuning_.silent_in_crowd &&
@@ -141,9 +190,8 @@
 
 void Listener::Stop(std::function<void()> then) {
   then_ = std::move(then);
-  evconnlistener_disable(listener_.get());
   listener_.reset();
-  for (auto at = sessions_.begin(); at != sessions_.end();) (*at++)->EndWhenIdle();
+  EndWhatRests();
   if (sessions_.empty()) stopped_.SetNow();
 }
 
--- a/src/front/listener.h
+++ b/src/front/listener.h
@@ -17,24 +17,42 @@
 
 class Listener : public SessionHome {
  public:
-  Listener(event_base* base, const std::string& address, Decision& decision, const Settings& settings,
+  // `socket` listens already and becomes the listener's. `hand_on` takes a session that is at rest to the
+  // process that follows, and says whether it did; the listener then ends it.
+  using HandOn = std::function<bool(ClientSession&)>;
+  Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision, const Settings& settings,
            const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread, const Clock& clock,
            Log& log, Counters& counters);
   ~Listener() override;
 
   void End(ClientSession& session) override;
   void Unread(std::size_t before, std::size_t now) override;
-  // Accepts no more, ends each session once nothing is owed on it, then calls `then`.
+  void AtRest(ClientSession& session) override;
+  const Doors& doors() const override { return doors_; }
+  // Whether connections are taken; the socket stays open either way.
+  void Accept(bool yes);
+  // Ends or hands on what is at rest, as the doors say now.
+  void EndWhatRests();
+  // A connection that the process before took.
+  void Adopt(evutil_socket_t socket, std::string_view begun, Duration begun_ago, bool asked);
+  // -1 once it accepts no more.
+  int socket() const { return listener_ ? evconnlistener_get_fd(listener_.get()) : -1; }
+  // Accepts no more, and calls `then` once the last session has ended.
   void Stop(std::function<void()> then);
   int port() const;
   std::size_t sessions() const { return sessions_.size(); }
 
  private:
-  void Accepted(evutil_socket_t socket);
+  ClientSession& Accepted(evutil_socket_t socket);
+  bool EndIfOver(ClientSession& session, TimePoint now);
   bool MakeRoom();
   void Sweep();
 
   event_base* base_;
+  const Doors& doors_;
+  HandOn hand_on_;
+  bool accepting_ = true;
+  TimePoint closing_since_ = TimePoint::max();  // the doors have said kCloses since
   Decision& decision_;
   const Settings& settings_;
   const Tuning::Clients& tuning_;
--- /dev/null
+++ b/src/handover/predecessor.h
@@ -0,0 +1,58 @@
+// In a starting process: the process that runs already, if there is one, and what it hands on.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "handover/channel.h"
+
+namespace peatbend::net::handover {
+
+// Where the process that serves `listen` (ADDRESS:PORT) waits for its successor: in the folder that $TMPDIR
+// names. Empty where it names none, or the port is 0 (each start has its own).
+std::string PathFor(const char* tmpdir, const std::string& listen);
+
+struct Inheritance {
+  FileHandle channel;
+  FileHandle listener;                                     // the clients' listening socket, shared with it
+  std::int64_t index = 0;                                  // of the pool list
+  nlohmann::json endpoints = nlohmann::json::array();      // the pool, in discovery's form
+  std::int64_t keeps = 0;                                  // descriptors that it may still hold
+  bool away = false;                                       // it was told to send clients away
+};
+
+// Asks at `path`, and waits no longer than `patience` in all. Nothing where nobody serves there or the answer
+// cannot be used; `say` is told why, unless there simply is nobody.
+std::optional<Inheritance> AskPredecessor(const std::string& path, std::chrono::milliseconds patience,
+                                          const std::function<void(std::string_view)>& say);
+
+// A client's connection on its way from one process to the other.
+struct ClientHandle {
+  FileHandle socket;
+  std::string begun;                         // bytes of a command that is not whole
+  std::chrono::milliseconds begun_ago{0};    // when the first of them came
+  bool asked = false;                        // it has sent a whole command before
+};
+
+class Predecessor {
+ public:
+  struct Calls {
+    std::function<void(ClientHandle)> client;
+    std::function<void(std::int64_t)> keeps;  // from now on it holds no more than that; 0: it has gone
+  };
+  Predecessor(event_base* base, FileHandle channel, Calls calls);
+  // Clients are taken from now on: it hands on what it has.
+  void Ready();
+
+ private:
+  void Take(Packet packet);
+
+  Calls calls_;
+  Channel channel_;
+};
+
+}  // namespace peatbend::net::handover
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 
 #include "base/event_handles.h"
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kAskPredecessor{2000};  // to be told what the running process hands on
+
 // The configuration, with as many sockets as the system allows.
 peatbend::Config Load(const std::string& own) {
   peatbend::Config config = peatbend::LoadConfig(own);
@@ -34,7 +37,15 @@
   EventBasePtr base = NewEventBase();
   if (!base) throw std::runtime_error("no event loop");
 
-  Router router(base.get(), config);
+  const char* tmpdir = std::getenv("TMPDIR");
+  std::string door = handover::PathFor(tmpdir, config.listen);
+  std::optional<handover::Inheritance> inherited;
+  if (!door.empty()) {
+    inherited = handover::AskPredecessor(door, kAskPredecessor, [&](std::string_view why) {
+      std::fprintf(stderr, "peatbend %s: handover: %.*s\n", config.name.c_str(), static_cast<int>(why.size()), why.data());
+    });
+  }
+  Router router(base.get(), config, std::move(inherited), door);
   auto stop = [&] { router.Stop([&] { event_base_loopbreak(base.get()); }); };
   Signal on_term(base.get(), SIGTERM, stop);
   Signal on_interrupt(base.get(), SIGINT, stop);
@@ -67,8 +78,8 @@
   CLI::App app{"peatbend: spreads keys over cache servers in front of one slow origin"};
   app.footer(
       "Without a command, serves.\n\n"
-      "Environment: BALANCER_CONFIG names the platform's JSON file; BALANCER_NAME, BALANCER_LISTEN and\n"
-      "BALANCER_DISCOVERY stand in for keys that it lacks.\n"
+      "Environment: BALANCER_CONFIG names the platform's JSON file; BALANCER_NAME, BALANCER_LISTEN,\n"
+      "BALANCER_DISCOVERY and BALANCER_ADMIN stand in for keys that it lacks.\n"
       "Signals: SIGTERM and SIGINT stop after what was taken is answered; SIGHUP reads the files again;\n"
       "SIGUSR1 prints the counters.\n"
       "Exit status: 0 after a stop, 1 for a faulty configuration or a failed start, above 100 for wrong\n"
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -18,7 +18,7 @@
 bool MemberConnection::Dial(const sockaddr_storage& address, int size, Duration timeout) {
   socket_.reset(bufferevent_socket_new(home_.base_, -1, BEV_OPT_CLOSE_ON_FREE));
   if (!socket_) return false;
-  bufferevent_setcb(socket_.get(), OnRead, nullptr, OnEvent, this);
+  bufferevent_setcb(socket_.get(), OnRead, OnWritten, OnEvent, this);
   if (bufferevent_socket_connect(socket_.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0) {
     return false;
   }
@@ -31,11 +31,18 @@
 
 void MemberConnection::Begin(Attempt& attempt, const Request& request, Duration limit) {
   attempt_ = &attempt;
+  dispatched_ = false;
   if (connected_) timer_.Stop();
   if (!connected_) return codec_->Encode(request, limit, bufferevent_get_output(socket_.get()));
   BufferPtr text = NewBuffer();
   codec_->Encode(request, limit, text.get());
-  WriteNow(socket_.get(), text.get());
+  if (WriteNow(socket_.get(), text.get())) Written();
+}
+
+// What was begun is with the socket, whole: counted once.
+void MemberConnection::Written() {
+  if (attempt_ == nullptr || !written() || std::exchange(dispatched_, true)) return;
+  if (!member_.origin) ++home_.counters_.dispatches;
 }
 
 // Asks the socket, since the loop may not have got round to reading what is there.
@@ -55,6 +62,7 @@
 }
 
 void MemberConnection::Read() {
+  Written();  // an answer may be read before the loop tells of the write
   if (attempt_ == nullptr) {  // nobody asked
     ++home_.counters_.closed_as_stray;
     return Break();
@@ -207,6 +215,12 @@
   while (!found->second.idle.empty()) Close(*found->second.idle.back());
 }
 
+void MemberConnections::CloseAllIdle() {
+  for (auto& [name, member] : members_) {
+    while (!member.idle.empty()) Close(*member.idle.back());
+  }
+}
+
 // A place for one more socket, made by closing the connection that has stood idle longest if need be.
 bool MemberConnections::MakeRoom() {
   if (sockets_.held < sockets_.most) return true;
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -43,10 +43,12 @@
  private:
   friend class MemberConnections;
   static void OnRead(bufferevent*, void* self) { static_cast<MemberConnection*>(self)->Read(); }
+  static void OnWritten(bufferevent*, void* self) { static_cast<MemberConnection*>(self)->Written(); }
   static void OnEvent(bufferevent*, short what, void* self) {
     static_cast<MemberConnection*>(self)->Happened(what);
   }
   void Read();
+  void Written();
   void Happened(short what);
   void Finish(FlowReply reply, bool keep);
   void Break();
@@ -56,6 +58,7 @@
   std::unique_ptr<ServerCodec> codec_;
   Attempt* attempt_ = nullptr;
   bool connected_ = false;
+  bool dispatched_ = false;  // the attempt's last byte was handed to the socket, and counted
   TimePoint idle_since_{};
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
   Timer timer_;  // dialling: not up in time; idle: to be closed
@@ -80,6 +83,7 @@
   // Null if no connection can be tried.
   MemberConnection* Begin(Attempt& attempt, const Request& request, Duration limit);
   void CloseIdle(const std::string& member);
+  void CloseAllIdle();
 
  private:
   friend class MemberConnection;
--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -126,6 +126,14 @@
 
   std::uint64_t tables_built() const { return tables_built_; }
 
+  std::size_t avoided(TimePoint now) const {
+    return static_cast<std::size_t>(std::count_if(by_id_.begin(), by_id_.end(), [&](const auto& entry) {
+      const Server& server = servers_[entry.second];
+      bool out = server.listed == Listed::kDraining || server.ejected || now < server.rests_until;
+      return !server.origin && server.listed != Listed::kGone && out;
+    }));
+  }
+
   void Handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
     now_ = now;
     out_ = &actions;
@@ -1035,6 +1043,7 @@
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
 std::uint64_t Balancer::tables_built() const { return brain_->tables_built(); }
+std::size_t Balancer::avoided(TimePoint now) const { return brain_->avoided(now); }
 void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
   brain_->Handle(now, event, actions);
 }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -1,21 +1,36 @@
 #include "pool/pool.h"
 
+#include "base/address.h"
+
 #include <stdexcept>
 
 namespace peatbend::net {
 Pool::Pool(event_base* base, const std::string& address, const Settings& settings,
-           const Tuning::PoolWatch& tuning, std::int64_t known_index, Log& log, Counters& counters,
+           const Tuning::PoolWatch& tuning, PoolList known, Log& log, Counters& counters,
            OnNews on_news)
     : base_(base),
       address_(address),
       settings_(settings),
       tuning_(tuning),
-      index_(known_index),
+      index_(known.index),
       log_(log),
       counters_(counters),
       on_news_(std::move(on_news)),
       silence_(base, [this] { Failed("silent"); }) {
   ReadAddress(address, to_, to_size_);
+  known.snapshot = true;
+  Hold(known);
+}
+
+void Pool::Hold(const PoolList& list) {
+  if (list.snapshot) held_.clear();
+  for (const PoolEntry& entry : list.entries) {
+    if (entry.entry.listed == Listed::kGone) {
+      held_.erase(entry.entry.id.name);
+    } else {
+      held_.insert_or_assign(entry.entry.id.name, entry);
+    }
+  }
 }
 
 void Pool::Watch() {
@@ -74,6 +89,7 @@
     return false;
   }
   index_ = list.index;
+  Hold(list);
   ++counters_.pool_changes;
   on_news_(list.snapshot ? Scope::kFull : Scope::kDelta, std::move(list.entries));
   return true;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,9 +23,13 @@
   // Called with each change, and with kFailed once for each watch that could not be had or has ended.
   using OnNews = std::function<void(Scope, std::vector<PoolEntry>)>;
   Pool(event_base* base, const std::string& address, const Settings& settings,
-       const Tuning::PoolWatch& tuning, std::int64_t known_index, Log& log, Counters& counters,
+       const Tuning::PoolWatch& tuning, PoolList known, Log& log, Counters& counters,
        OnNews on_news);
 
+  // The list as last held, and its version.
+  const std::map<std::string, PoolEntry>& held() const { return held_; }
+  std::int64_t index() const { return index_; }
+
   // Opens a watch on what changed after the list held; ends one that is open.
   void Watch();
   // Watches there from now on. The list held stays until the new discovery has told its own.
@@ -37,6 +42,7 @@
   }
   void Read();
   bool TakeLine(std::string_view line);
+  void Hold(const PoolList& list);
   void Failed(std::string_view why);
 
   event_base* base_;
@@ -46,6 +52,7 @@
   const Settings& settings_;
   const Tuning::PoolWatch& tuning_;
   std::int64_t index_;
+  std::map<std::string, PoolEntry> held_;
   Log& log_;
   Counters& counters_;
   OnNews on_news_;
--- a/src/pool/pool_list.cpp
+++ b/src/pool/pool_list.cpp
@@ -1,13 +1,10 @@
 #include "pool/pool_list.h"
 
-#include <event2/util.h>
-#include <netinet/in.h>
-
 #include <algorithm>
 #include <cmath>
 #include <stdexcept>
 
-#include "base/text.h"
+#include "base/address.h"
 
 namespace peatbend::net {
 namespace {
@@ -70,20 +67,20 @@
 
 }  // namespace
 
-void ReadAddress(const std::string& text, sockaddr_storage& to, int& size) {
-  size = sizeof to;
-  std::size_t colon = text.rfind(':');
-  std::string host = text.substr(0, colon);
-  std::uint16_t port = 0;  // 0, which the parser of libevent refuses, lets a test listen where there is room
-  bool fine = colon != std::string::npos && host.find_first_of("[]:") == host.find('[') &&
-              ParseNumber(std::string_view(text).substr(colon + 1), port) &&
-              evutil_parse_sockaddr_port(host.c_str(), reinterpret_cast<sockaddr*>(&to), &size) == 0;
-  if (!fine) throw std::invalid_argument("address: ADDRESS:PORT expected, found '" + text + "'");
-  if (to.ss_family == AF_INET) {
-    reinterpret_cast<sockaddr_in&>(to).sin_port = htons(port);
-  } else {
-    reinterpret_cast<sockaddr_in6&>(to).sin6_port = htons(port);
-  }
+nlohmann::json WritePoolEntry(const PoolEntry& entry, const Settings& settings) {
+  auto name_of = [](const std::vector<std::string>& names, int index) {
+    return index >= 0 && index < static_cast<int>(names.size()) ? names[static_cast<std::size_t>(index)] : "";
+  };
+  const ServerEntry& server = entry.entry;
+  auto since = std::chrono::duration_cast<std::chrono::milliseconds>(server.started.time_since_epoch());
+  return {{"name", server.id.name},
+          {"address", entry.address},
+          {"zone", name_of(settings.zones, server.zone)},
+          {"type", name_of(settings.kinds, server.kind)},
+          {"group", server.cell},
+          {"status", server.listed == Listed::kReady ? "SERVING" : "DRAINING"},
+          {"weight", server.weight},
+          {"since_ms", since.count()}};
 }
 
 PoolList ReadPoolList(const json& object, const Settings& settings) {
--- a/src/pool/pool_list.h
+++ b/src/pool/pool_list.h
@@ -28,8 +28,7 @@
 // Throws std::invalid_argument, naming the key at fault.
 PoolList ReadPoolList(const nlohmann::json& json, const Settings& settings);
 PoolList ParsePoolList(std::string_view text, const Settings& settings);
-
-// "10.1.0.18:6379"; throws std::invalid_argument.
-void ReadAddress(const std::string& text, sockaddr_storage& to, int& size);
+// The entry as discovery would state it.
+nlohmann::json WritePoolEntry(const PoolEntry& entry, const Settings& settings);
 
 }  // namespace peatbend::net
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -1,42 +1,266 @@
 #include "router/router.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+#include "base/listen.h"
 
 namespace peatbend::net {
 namespace {
-// Descriptors that are no sockets of clients or members: standard streams, the loop's, the listener, the
-// watch.
-constexpr std::int64_t kOtherDescriptors = 16;
+// Descriptors that are no sockets of clients or members: standard streams, the loop's (4), the listener, the
+// watch, the door for a successor and the channel to it; and the operators' address.
+constexpr std::int64_t kOtherDescriptors = 14;
+// What a process that follows holds before it is told how many it may hold.
+constexpr std::int64_t kSuccessorDescriptors = 14;
 constexpr double kMegabyte = 1024.0 * 1024;
+// After LEAVE: the front may not have asked PING yet, and still sends clients.
+constexpr std::chrono::milliseconds kLateClients{400};
+// How often the successor is told what is free for it; of the descriptors held then, for flows that go on.
+constexpr std::chrono::milliseconds kTellKeepsEvery{50}, kEndAgain{5};
+constexpr std::int64_t kForFlows = 4;
+
+std::int64_t Others(const Config& config) {
+  return kOtherDescriptors + (config.admin.empty() ? 0 : static_cast<std::int64_t>(kAdminDescriptors));
+}
+
+int Listening(const Config& config, std::optional<handover::Inheritance>& inherited, Log& log) {
+  if (inherited) return inherited->listener.Release();
+  bool taken = Taken(config.listen);
+  int socket = ListenOn(config.listen, static_cast<int>(config.tuning.clients.backlog), true);
+  if (socket < 0) throw std::runtime_error("cannot listen on " + config.listen + ": " + std::strerror(errno));
+  if (taken) log.Line("handover", "shares " + config.listen + " with a process that hands nothing on");
+  return socket;
+}
+
+PoolList Known(const Config& config, const std::optional<handover::Inheritance>& inherited, Log& log) {
+  if (!inherited) return config.known;
+  try {
+    return ReadPoolList({{"index", inherited->index}, {"snapshot", true}, {"endpoints", inherited->endpoints}},
+                        config.settings);
+  } catch (const std::invalid_argument& error) {
+    log.Line("handover", std::string("the pool handed on cannot be used: ") + error.what());
+    return config.known;
+  }
+}
 }  // namespace
 
-Router::Router(event_base* base, const Config& config)
+Router::Router(event_base* base, const Config& config, std::optional<handover::Inheritance> inherited,
+               std::string door)
     : running_(config),
       log_(config.name, config.tuning.log, clock_),
-      sockets_{static_cast<std::size_t>(config.sockets - kOtherDescriptors)},
+      predecessor_keeps_(inherited ? inherited->keeps : 0),
       connections_(base, running_.settings, running_.tuning.members, sockets_, clock_, log_, counters_),
       decision_(
           base, running_.settings, config.seed, connections_, [this] { pool_.Watch(); }, clock_, log_,
           counters_),
-      pool_(base, config.discovery, running_.settings, running_.tuning.pool, config.known.index, log_,
+      pool_(base, config.discovery, running_.settings, running_.tuning.pool, Known(config, inherited, log_), log_,
             counters_,
             [this](Scope scope, std::vector<PoolEntry> entries) {
               decision_.PoolNews(scope, std::move(entries));
             }),
-      listener_(base, config.listen, decision_, running_.settings, running_.tuning.clients, sockets_,
+      successor_(base, log_,
+                 {.offer = [this] { return MakeOffer(); },
+                  .ready = [this] { SuccessorReady(); },
+                  .lost = [this] { SuccessorLost(); },
+                  .room = [this] { listener_.EndWhatRests(); }}),
+      listener_(base, Listening(config, inherited, log_), life_,
+                [this](ClientSession& session) { return HandOn(session); }, decision_, running_.settings,
+                running_.tuning.clients, sockets_,
                 static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte *
                                          config.tuning.memory.unread_share),
                 clock_, log_, counters_),
-      stop_listening_(base, [this] { listener_.Stop(then_); }),
-      stop_at_last_(base, [this] { then_(); }) {
-  running_.known = {};  // read once, below; the list moves on without it
-  decision_.PoolNews(Scope::kCached, config.known.entries);
-  log_.Line("start", "listening on " + config.listen + ", " + std::to_string(config.known.entries.size()) +
-                         " pool entries known");
+      door_(std::move(door)),
+      late_clients_over_(base,
+                         [this] {
+                           if (life_.LateClientsOver()) Moved();
+                         }),
+      stop_at_last_(base, [this] { then_(); }),
+      tell_keeps_(base, [this] { TellKeeps(); }),
+      end_(base, [this] { End(); }) {
+  running_.known = {};  // read once; the list moves on without it
+  ShareDescriptors();
+  if (!config.admin.empty()) admin_ = std::make_unique<AdminServer>(base, config.admin, *this, clock_, log_);
+  decision_.OnReady([this] {
+    if (life_.PoolThere()) Moved();
+  });
+  std::vector<PoolEntry> entries;
+  for (const auto& [name, entry] : pool_.held()) entries.push_back(entry);
+  std::size_t known = entries.size();
+  if (inherited) {
+    if (inherited->away && life_.Leave()) Moved();
+    predecessor_.emplace(base, std::move(inherited->channel),
+                         handover::Predecessor::Calls{
+                             .client =
+                                 [this](handover::ClientHandle client) {
+                                   listener_.Adopt(client.socket.Release(), client.begun, client.begun_ago,
+                                                   client.asked);
+                                 },
+                             .keeps = [this](std::int64_t keeps) { PredecessorKeeps(keeps); }});
+    predecessor_->Ready();
+  }
+  decision_.PoolNews(Scope::kCached, std::move(entries));
+  successor_.Open(door_);
+  log_.Line("start", (predecessor_ ? "takes over " : "listening on ") + config.listen + ", " +
+                         std::to_string(known) + " pool entries known");
+}
+
+// ---- Life cycle -----------------------------------------------------------------------------------
+
+void Router::Moved() {
+  if (std::exchange(told_, life_.name()) != life_.name()) log_.Line("life", life_.name());
+  listener_.Accept(life_.state() != LifeCycle::State::kHandingOver);
+  if (life_.state() == LifeCycle::State::kFinishing) {
+    listener_.Stop([this] { End(); });
+  } else if (life_.rest() != Doors::Rest::kStays) {
+    listener_.EndWhatRests();
+  }
+}
+
+std::string Router::Health() {
+  return (life_.takes_clients() ? "ok " : "fail ") + std::string(life_.name());
 }
 
+std::string Router::Leave() {
+  if (life_.Leave()) {
+    Moved();
+    late_clients_over_.Set(kLateClients);
+  }
+  return (life_.away() || life_.stopping() ? "ok " : "fail ") + std::string(life_.name());
+}
+
+std::string Router::Join() {
+  if (life_.Join()) {
+    late_clients_over_.Stop();
+    Moved();
+  }
+  bool back = life_.state() == LifeCycle::State::kServing || life_.state() == LifeCycle::State::kStarting;
+  return (back ? "ok " : "fail ") + std::string(life_.name());
+}
+
+void Router::Stop(std::function<void()> then) {
+  if (life_.stopping()) return;
+  log_.Line("stopping", std::to_string(decision_.transactions()) + " transactions open");
+  then_ = std::move(then);
+  life_.Stop();
+  late_clients_over_.Set(running_.tuning.stop.keep_listening);
+  stop_at_last_.Set(running_.tuning.stop.keep_listening + LongestDeadline() + running_.tuning.stop.slack);
+  Moved();
+}
+
+// No session is left; what was handed on leaves first.
+void Router::End() {
+  if (!successor_.idle()) return end_.Set(kEndAgain);
+  if (!std::exchange(ended_, true)) then_();
+}
+
+std::string Router::Figures() {
+  std::string text;
+  auto add = [&text](std::string_view name, std::uint64_t value) {
+    fmt::format_to(std::back_inserter(text), "edge_balancer.{}={}\n", name, value);
+  };
+  for (std::size_t i = 0; i < counters_.classes.size(); ++i) {
+    const Counters::OfClass& counts = counters_.classes[i];
+    std::string prefix = "replies." + running_.settings.classes[i].name;
+    add(prefix + ".success", counts.served);
+    add(prefix + ".overload", counts.rejected);
+    add(prefix + ".error", counts.failed);
+  }
+  add("dispatches", counters_.dispatches);
+  add("concurrent", decision_.open());
+  auto cached = [this](const auto& one) {
+    return !running_.settings.aside || one.second.entry.kind != running_.settings.origin_kind;
+  };
+  add("targets", static_cast<std::uint64_t>(std::ranges::count_if(pool_.held(), cached)));
+  add("targets_disabled", decision_.balancer().avoided(clock_.Now()));
+  return text;
+}
+
+// ---- The process before, and the one that follows ---------------------------------------------------
+
+// What this process and those before it may hold at most.
+std::int64_t Router::Keeps() const {
+  return Others(running_) + static_cast<std::int64_t>(sockets_.most) + predecessor_keeps_;
+}
+
+std::int64_t Router::descriptors() const {
+  return Others(running_) + static_cast<std::int64_t>(std::max(sockets_.most, sockets_.held));
+}
+
+void Router::ShareDescriptors() {
+  std::int64_t most = running_.sockets - Others(running_) - predecessor_keeps_;
+  if (!door_.empty()) most -= kSuccessorDescriptors;
+  bool over = life_.rest() == Doors::Rest::kGoesToSuccessor;  // then it only falls
+  if (over) most = std::min(most, static_cast<std::int64_t>(sockets_.held) + kForFlows);
+  sockets_.most = static_cast<std::size_t>(std::max<std::int64_t>(most, 0));
+}
+
+void Router::TellKeeps() {
+  if (life_.rest() != Doors::Rest::kGoesToSuccessor) return;
+  std::size_t before = sockets_.most;
+  sockets_.most = std::min(sockets_.most, sockets_.held + static_cast<std::size_t>(kForFlows));
+  if (sockets_.most != before) successor_.TellKeeps(Keeps());
+  tell_keeps_.Set(kTellKeepsEvery);
+}
+
+void Router::PredecessorKeeps(std::int64_t keeps) {
+  predecessor_keeps_ = keeps;
+  ShareDescriptors();
+  if (life_.rest() == Doors::Rest::kGoesToSuccessor) successor_.TellKeeps(Keeps());
+  if (keeps == 0) log_.Line("handover", "the process before has gone");
+}
+
+handover::Successor::Offer Router::MakeOffer() {
+  handover::Successor::Offer offer;
+  offer.listener = listener_.socket();
+  offer.index = pool_.index();
+  offer.keeps = Keeps();
+  offer.away = life_.away();
+  for (const auto& [name, entry] : pool_.held()) offer.endpoints.push_back(WritePoolEntry(entry, running_.settings));
+  return offer;
+}
+
+void Router::SuccessorReady() {
+  log_.Line("handover", "a new process takes clients");
+  bool moved = life_.SuccessorReady();
+  connections_.CloseAllIdle();
+  ShareDescriptors();
+  successor_.TellKeeps(Keeps());
+  tell_keeps_.Set(kTellKeepsEvery);
+  if (moved) {
+    Moved();
+  } else {
+    listener_.EndWhatRests();
+  }
+}
+
+void Router::SuccessorLost() {
+  log_.Line("handover", "the new process has ended");
+  bool moved = life_.SuccessorLost();
+  ShareDescriptors();
+  if (moved) Moved();
+}
+
+bool Router::HandOn(ClientSession& session) {
+  if (!successor_.takes() || !session.may_move()) return false;
+  handover::ClientHandle client;
+  client.asked = session.asked();
+  if (session.half_sent()) {
+    client.begun_ago = std::chrono::duration_cast<Milliseconds>(clock_.Now() - session.begun());
+  }
+  client.socket = handover::FileHandle(session.Release(client.begun));
+  if (sockets_.most > 0) --sockets_.most;  // its descriptor is the other's from now on
+  successor_.Send(std::move(client), Keeps());
+  return true;
+}
+
+// ---- A reload --------------------------------------------------------------------------------------
+
 void Router::Reload(const std::function<Config()>& load) {
-  if (stopping_) return;
+  if (life_.stopping()) return;
   Config config;
   try {
     config = load();
@@ -57,6 +281,7 @@
   };
   at_next_start(config.name != running_.name, "name");
   at_next_start(config.listen != running_.listen, "listen");
+  at_next_start(config.admin != running_.admin, "admin");
   at_next_start(config.cores != running_.cores || config.memory_mb != running_.memory_mb ||
                     config.sockets != running_.sockets,
                 "limits");
@@ -70,12 +295,4 @@
   return longest;
 }
 
-void Router::Stop(std::function<void()> then) {
-  if (std::exchange(stopping_, true)) return;
-  log_.Line("stopping", std::to_string(decision_.transactions()) + " transactions open");
-  then_ = std::move(then);
-  stop_listening_.Set(running_.tuning.stop.keep_listening);
-  stop_at_last_.Set(running_.tuning.stop.keep_listening + LongestDeadline() + running_.tuning.stop.slack);
-}
-
 }  // namespace peatbend::net
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -1,24 +1,34 @@
-// The stages, wired together in the order that a request passes them. The program runs one; tests too.
+// The stages, wired together in the order that a request passes them, and the life cycle over them. The program
+// runs one; tests too.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
+#include "admin/admin_server.h"
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/event_handles.h"
 #include "base/log.h"
 #include "config/config.h"
 #include "front/listener.h"
+#include "handover/predecessor.h"
+#include "handover/successor.h"
 #include "member/member_connections.h"
 #include "pool/pool.h"
+#include "router/life_cycle.h"
 #include "stage/decision.h"
 
 namespace peatbend::net {
 
-class Router {
+class Router : public Operations {
  public:
-  Router(event_base* base, const Config& config);
+  // `inherited`: what the process that serves the same address hands on. `door`: where this one waits for the
+  // process that follows; empty: nowhere.
+  Router(event_base* base, const Config& config, std::optional<handover::Inheritance> inherited = {},
+         std::string door = {});
 
   // Keeps serving what comes, finishes all that was taken, then calls `then`.
   void Stop(std::function<void()> then);
@@ -27,23 +37,50 @@
   void Reload(const std::function<Config()>& load);
   void PrintCounters() { log_.Counts("counters", Describe(counters_)); }
   const Counters& counters() const { return counters_; }
+  const LifeCycle& life() const { return life_; }
   int port() const { return listener_.port(); }
+  // That this process may hold now, or holds if that is more.
+  std::int64_t descriptors() const;
+  int admin_port() const { return admin_ ? admin_->port() : 0; }
+
+  std::string Health() override;
+  std::string Leave() override;
+  std::string Join() override;
+  std::string Figures() override;
 
  private:
   Duration LongestDeadline() const;
+  void Moved();
+  // The descriptors that this process may hold, with its predecessor's part taken off.
+  void ShareDescriptors();
+  std::int64_t Keeps() const;
+  void TellKeeps();
+  handover::Successor::Offer MakeOffer();
+  bool HandOn(ClientSession& session);
+  void SuccessorReady();
+  void SuccessorLost();
+  void PredecessorKeeps(std::int64_t keeps);
+  void End();
 
   Config running_;
   Clock clock_;
   Counters counters_;
   Log log_;
+  LifeCycle life_;
+  std::string_view told_;  // its name as last logged
+  std::int64_t predecessor_keeps_ = 0;
   SocketBudget sockets_;
   MemberConnections connections_;
   Decision decision_;
   Pool pool_;
+  handover::Successor successor_;
   Listener listener_;
+  std::optional<handover::Predecessor> predecessor_;
+  std::unique_ptr<AdminServer> admin_;
   std::function<void()> then_;
-  bool stopping_ = false;
-  Timer stop_listening_, stop_at_last_;
+  bool ended_ = false;
+  std::string door_;
+  Timer late_clients_over_, stop_at_last_, tell_keeps_, end_;
 };
 
 }  // namespace peatbend::net
--- a/src/stage/decision.cpp
+++ b/src/stage/decision.cpp
@@ -37,7 +37,9 @@
       log_(log),
       counters_(counters),
       drain_(base, [this] { Drain(); }),
-      timer_(base, [this] { TimersDue(); }) {}
+      timer_(base, [this] { TimersDue(); }) {
+  counters_.classes.resize(settings_.classes.size());
+}
 
 // ---- What happens, queued -------------------------------------------------------------------------
 
@@ -101,7 +103,8 @@
 }
 
 void Decision::On(News& news) {
-  if (news.scope != Scope::kFailed) ready_ = ready_ || !news.entries.empty();
+  bool first = news.scope != Scope::kFailed && !news.entries.empty() && !std::exchange(ready_, true);
+  if (first && on_ready_) on_ready_();
   Ask(MembershipEvent{news.scope, news.entries});
 }
 
--- a/src/stage/decision.h
+++ b/src/stage/decision.h
@@ -41,6 +41,9 @@
 
   bool ready() const { return ready_; }  // there is a pool to serve from
   std::size_t transactions() const { return transactions_.size(); }
+  std::size_t open() const { return open_ids_.size(); }  // taken and not yet answered
+  const Balancer& balancer() const { return balancer_; }
+  void OnReady(std::function<void()> then) { on_ready_ = std::move(then); }
 
  private:
   struct News {
@@ -96,6 +99,7 @@
   Log& log_;
   Counters& counters_;
   bool ready_ = false;
+  std::function<void()> on_ready_;
   std::uint32_t last_id_ = 0;
   std::unordered_map<RequestId, std::unique_ptr<Transaction>> transactions_;
   // Ids of the clients' that wait for an answer; the views are into the transactions' requests.
--- a/src/stage/transaction.cpp
+++ b/src/stage/transaction.cpp
@@ -4,23 +4,27 @@
 
 namespace peatbend::net {
 
+Counters::OfClass& Transaction::OfClass() {
+  return counters_.classes[static_cast<std::size_t>(request_->cls)];
+}
+
 void Transaction::Serve(evbuffer* value) {
   if (AnswerSink* client = std::exchange(client_, nullptr)) {
-    ++counters_.served;
+    ++OfClass().served;
     client->Served(place_, value);
   }
 }
 
 void Transaction::Reject(Duration come_back) {
   if (AnswerSink* client = std::exchange(client_, nullptr)) {
-    ++counters_.rejected;
+    ++OfClass().rejected;
     client->Rejected(place_, come_back);
   }
 }
 
 void Transaction::Fail() {
   if (AnswerSink* client = std::exchange(client_, nullptr)) {
-    ++counters_.failed;
+    ++OfClass().failed;
     client->Failed(place_);
   }
 }
--- a/src/stage/transaction.h
+++ b/src/stage/transaction.h
@@ -37,6 +37,7 @@
   int open_flows = 0;  // whose outcome the module has not had
 
  private:
+  Counters::OfClass& OfClass();
   RequestId id_;
   std::unique_ptr<Request> request_;
   AnswerSink* client_;  // null once answered
--- /dev/null
+++ b/tests/net/operations_test.cpp
@@ -0,0 +1,325 @@
+// What operators do, on real sockets: the second address, a drain, an upgrade. Both processes of an upgrade are
+// routers on one loop here; the asking of the second, which waits, runs on a thread.
+#include <sys/socket.h>
+#include <sys/un.h>
+
+#include <atomic>
+#include <filesystem>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+#include "stage.h"
+
+namespace peatbend::net::test {
+namespace {
+
+using Clients = Counters::OfClass;
+
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/peatbend-test-XXXXXX";
+    REQUIRE(mkdtemp(name) != nullptr);
+    path = name;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string Door() const { return path + "/door"; }
+  std::string path;
+};
+
+// What the asking at `door` brings, while the stage's loop runs.
+std::optional<handover::Inheritance> AskFrom(Stage& stage, const std::string& door, std::string& said,
+                                             int patience_ms = 3000) {
+  std::optional<handover::Inheritance> got;
+  std::atomic<bool> done = false;
+  std::thread asks([&] {
+    got = handover::AskPredecessor(door, std::chrono::milliseconds(patience_ms),
+                                   [&](std::string_view why) { said = why; });
+    done = true;
+  });
+  stage.Until([&] { return done.load(); });
+  asks.join();
+  return got;
+}
+
+std::string Call(Stage& stage, const Router& router, const std::string& text) {
+  End& caller = stage.clients.emplace_back(stage.base.get(), -1);
+  caller.Connect(router.admin_port());
+  caller.Say(text);
+  stage.Until([&] { return caller.closed; });
+  return caller.got;
+}
+
+std::uint64_t Figure(const std::string& dump, const std::string& name) {
+  std::size_t at = dump.find("edge_balancer." + name + "=");
+  REQUIRE(at != std::string::npos);
+  return std::stoull(dump.substr(dump.find('=', at) + 1));
+}
+
+const auto kYes = Stage::Says(Value("v"));
+
+TEST_CASE("upgrade: clients move with what they have begun, and nothing that was taken is lost") {
+  Folder folder;
+  Stage stage({}, {}, "", 1024, 192, folder.Door());
+  stage.Until([&] { return stage.router.life().takes_clients(); });
+  End& idle = stage.Client("*1\r\n$4\r\nPING\r\n");
+  std::string whole = Get(kKey, "c=read,d=1900");
+  End& half = stage.Client(whole.substr(0, 30));
+  End& waits = stage.Client(Get("00000000000000aa", "c=read,d=1900"));
+  stage.Until([&] { return idle.got == "+PONG\r\n" && stage.member.Count("OBJ.GET") == 1; });
+  stage.Until([&] { return stage.router.counters().clients_accepted == 3; });
+
+  std::string said;
+  auto inherited = AskFrom(stage, folder.Door(), said);
+  REQUIRE_MESSAGE(inherited.has_value(), said);
+  CHECK(inherited->endpoints.size() == 2);
+  CHECK(inherited->keeps > 0);
+  {
+    Router next(stage.base.get(), stage.Configured(), std::move(inherited), folder.Door());
+    stage.Until([&] { return next.counters().clients_accepted == 2; });  // idle and half
+    CHECK(stage.router.life().state() == LifeCycle::State::kHandingOver);
+    CHECK(stage.router.Join().starts_with("fail"));
+
+    half.Say(whole.substr(30));
+    stage.Until([&] { return stage.member.Count("OBJ.GET") == 2; });
+    for (End& end : stage.member.ends) end.Say(Value("v"));  // one asked by each of the two routers
+    stage.Until([&] { return half.got == "$1\r\nv\r\n" && waits.got == "$1\r\nv\r\n"; });
+    CHECK(next.counters().Sum(&Clients::served) == 1);
+    CHECK(stage.router.counters().Sum(&Clients::served) == 1);
+    stage.Until([&] { return next.counters().clients_accepted == 3; });  // answered, so it moves too
+
+    bool ended = false;
+    stage.router.Stop([&] { ended = true; });
+    stage.Until([&] { return ended; });
+    for (End* end : {&idle, &half, &waits}) {
+      end->got.clear();
+      end->Say("*1\r\n$4\r\nPING\r\n");
+    }
+    End& fresh = stage.clients.emplace_back(stage.base.get(), -1);
+    fresh.Connect(next.port());
+    fresh.Say("*1\r\n$4\r\nPING\r\n");
+    stage.Until([&] { return idle.got + half.got + waits.got + fresh.got == "+PONG\r\n+PONG\r\n+PONG\r\n+PONG\r\n"; });
+    CHECK(!idle.closed);
+  }
+}
+
+TEST_CASE("upgrade: a new process that ends early leaves the old one serving, and another may follow") {
+  Folder folder;
+  Stage stage(kYes, {}, "", 1024, 192, folder.Door());
+  for (int round = 0; round < 2; ++round) {
+    std::string said;
+    auto inherited = AskFrom(stage, folder.Door(), said);
+    REQUIRE_MESSAGE(inherited.has_value(), said);
+    std::optional<Router> next;
+    next.emplace(stage.base.get(), stage.Configured(), std::move(inherited), folder.Door());
+    stage.Until([&] { return stage.router.life().state() == LifeCycle::State::kHandingOver; });
+    next.reset();
+    stage.Until([&] { return stage.router.life().state() == LifeCycle::State::kServing; });
+    CHECK(stage.Ask(Get(kKey, "c=read,d=1900")) == "$1\r\nv\r\n");
+    CHECK(Call(stage, stage.router, "HEALTH\n") == "ok serving\n");
+  }
+  // One that asks and then says nothing more has no effect either.
+  std::string said;
+  { auto inherited = AskFrom(stage, folder.Door(), said); }
+  CHECK(stage.Ask("*1\r\n$4\r\nPING\r\n") == "+PONG\r\n");
+}
+
+TEST_CASE("upgrade: the descriptors of both together stay within those of one") {
+  Folder folder;
+  Stage stage({}, {}, "", 128, 192, folder.Door());
+  for (int i = 0; i < 30; ++i) stage.Client(Get("00000000000000" + std::to_string(10 + i), "c=read,d=1900"));
+  stage.Until([&] { return stage.router.counters().transactions == 30; });
+  std::string said;
+  auto inherited = AskFrom(stage, folder.Door(), said);
+  REQUIRE_MESSAGE(inherited.has_value(), said);
+  Router next(stage.base.get(), stage.Configured("", 128), std::move(inherited));
+  stage.Until([&] { return stage.router.life().state() == LifeCycle::State::kHandingOver; });
+  CHECK(stage.router.descriptors() + next.descriptors() <= 128);
+  for (End& end : stage.member.ends) end.Say(Value("v"));
+  stage.Until([&] { return next.counters().clients_accepted >= 5; });
+  CHECK(stage.router.descriptors() + next.descriptors() <= 128);
+}
+
+TEST_CASE("upgrade: whatever stands at the door, a start goes on, and says why it takes nothing over") {
+  Folder folder;
+  Stage stage;
+  std::string said;
+  SUBCASE("nobody") { CHECK(!AskFrom(stage, folder.Door(), said)); }
+  SUBCASE("a file left behind by a dead process") {
+    { handover::FileHandle gone = handover::ListenAt(folder.Door()); }
+    REQUIRE(std::filesystem::exists(folder.Door()));
+    CHECK(!AskFrom(stage, folder.Door(), said));
+    CHECK(said == "");
+    CHECK(handover::ListenAt(folder.Door()));  // the file is no hindrance
+  }
+  SUBCASE("a process that hangs") {
+    handover::FileHandle hangs = handover::ListenAt(folder.Door());
+    CHECK(!AskFrom(stage, folder.Door(), said, 200));
+    CHECK(said == "the running process does not answer");
+  }
+  SUBCASE("one that dies in the middle") {
+    handover::FileHandle dies = handover::ListenAt(folder.Door());
+    std::thread answers([&] {
+      while (true) {
+        handover::FileHandle caller(accept4(dies.get(), nullptr, nullptr, 0));
+        if (caller) break;
+      }
+      dies = {};
+    });
+    CHECK(!AskFrom(stage, folder.Door(), said, 2000));
+    answers.join();
+  }
+  SUBCASE("one that speaks another version, or nonsense") {
+    for (auto [type, version, word] : {std::tuple{"offer", 99, "cannot use"}, {"refused", 99, "refuses"},
+                                       {"what", 1, "cannot be read"}}) {
+      handover::FileHandle door = handover::ListenAt(folder.Door());
+      std::thread answers([&, type = type, version = version] {
+        handover::FileHandle caller;
+        while (!caller) caller = handover::FileHandle(accept4(door.get(), nullptr, nullptr, 0));
+        handover::SendPacket(caller.get(), {{{"type", type}, {"version", version}}, "", {}});
+        handover::Packet packet;
+        while (handover::ReceivePacket(caller.get(), packet) != handover::Got::kEnd) continue;
+      });
+      CHECK(!AskFrom(stage, folder.Door(), said, 2000));
+      answers.join();
+      CHECK(said.find(word) != std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("upgrade: a folder too long for an address does") {
+  Folder folder;
+  std::string deep = folder.path + "/" + std::string(120, 'd') + "/" + std::string(120, 'e');
+  std::filesystem::create_directories(deep);
+  Stage stage(kYes, {}, "", 1024, 192, deep + "/door");
+  std::string said;
+  CHECK_MESSAGE(AskFrom(stage, deep + "/door", said), said);
+}
+
+TEST_CASE("upgrade: a process of another version is turned away, and the old one serves on") {
+  Folder folder;
+  Stage stage(kYes, {}, "", 1024, 192, folder.Door());
+  handover::FileHandle other = handover::Dial(folder.Door());
+  REQUIRE(handover::SendPacket(other.get(), {{{"type", "hello"}, {"version", 99}}, "", {}}));
+  handover::Packet packet;
+  stage.Until([&] { return handover::ReceivePacket(other.get(), packet) == handover::Got::kPacket; });
+  CHECK(packet.type() == "refused");
+  CHECK(stage.Ask(Get(kKey, "c=read,d=1900")) == "$1\r\nv\r\n");
+}
+
+TEST_CASE("second address: each call has its answer, whatever comes") {
+  Folder folder;
+  Stage stage(kYes, {}, "", 1024, 192, folder.Door());
+  auto call = [&](const std::string& text) { return Call(stage, stage.router, text); };
+  CHECK(call("HEALTH\n") == "ok serving\n");
+  CHECK(call("HEALTH\r\n") == "ok serving\n");
+  CHECK(call("JOIN\n") == "ok serving\n");
+  CHECK(call("\n") == "fail empty call\n");
+  CHECK(call("NOTHING\n") == "fail unknown call\n");
+  CHECK(call(std::string("HEALTH\0\n", 8)) == "fail unknown call\n");
+  CHECK(call("HEALTH\nLEAVE\n") == "ok serving\n");  // one line a connection
+  CHECK(stage.router.life().state() == LifeCycle::State::kServing);
+  CHECK(call(std::string(300, 'x')) == "fail line too long\n");
+  End& split = stage.clients.emplace_back(stage.base.get(), -1);
+  split.Connect(stage.router.admin_port());
+  split.Say("HEA");
+  stage.Rest();
+  split.Say("LTH\n");
+  stage.Until([&] { return split.got == "ok serving\n"; });
+}
+
+TEST_CASE("second address: callers who hold it without a whole call keep nobody waiting") {
+  Folder folder;
+  Stage stage(kYes, {}, "", 128, 192, folder.Door());
+  for (int i = 0; i < 150; ++i) stage.Client("");  // more than the descriptors hold
+  for (int i = 0; i < 40; ++i) {
+    End& silent = stage.clients.emplace_back(stage.base.get(), -1);
+    silent.Connect(stage.router.admin_port());
+    if (i % 2 == 0) silent.Say("HEAL");
+  }
+  auto from = std::chrono::steady_clock::now();
+  CHECK(Call(stage, stage.router, "HEALTH\n") == "ok serving\n");
+  CHECK(std::chrono::steady_clock::now() - from < std::chrono::seconds(1));
+}
+
+TEST_CASE("figures: what was taken is served, refused, failed or still open, class by class") {
+  Folder folder;
+  Stage stage(kYes, {}, "", 1024, 192, folder.Door());
+  auto dump = [&] { return Call(stage, stage.router, "DUMP\n"); };
+  std::string first = dump();
+  CHECK(first.ends_with("\neof\n"));
+  for (const char* cls : {"read", "keyed", "unsafe"}) {
+    for (const char* end : {"success", "overload", "error"})
+      CHECK(Figure(first, "replies." + std::string(cls) + "." + end) == 0);
+  }
+  CHECK(Figure(first, "targets") == 1);  // the origin is none
+  CHECK(Figure(first, "targets_disabled") == 0);
+  CHECK(stage.Ask(Get(kKey, "c=read,d=1900")) == "$1\r\nv\r\n");
+  stage.Client(Set("00000000000000aa", "c=unsafe,d=1900", "x"));  // at the origin, which says nothing
+  stage.Until([&] { return stage.origin.Count("PUT") == 1; });
+  std::string open = dump();
+  CHECK(Figure(open, "replies.read.success") == 1);
+  CHECK(Figure(open, "concurrent") == 1);
+  CHECK(Figure(open, "dispatches") == 1);  // of cache servers
+  for (End& end : stage.origin.ends) end.Hang();
+  stage.Until([&] { return stage.router.counters().Sum(&Clients::failed) == 1; });
+  std::string last = dump();
+  CHECK(Figure(last, "replies.unsafe.error") == 1);
+  CHECK(Figure(last, "concurrent") == 0);
+}
+
+TEST_CASE("drain: PING says no at once, what comes is served, each connection closes; JOIN undoes it") {
+  Folder folder;
+  Stage stage({}, {}, "", 1024, 192, folder.Door());
+  const std::string ping = "*1\r\n$4\r\nPING\r\n";
+  End& idle = stage.Client(ping);
+  End& waits = stage.Client(Get(kKey, "c=read,d=1900"));
+  stage.Until([&] { return idle.got == "+PONG\r\n" && stage.member.Count("OBJ.GET") == 1; });
+  CHECK(Call(stage, stage.router, "LEAVE\n") == "ok leaving\n");
+  CHECK(Call(stage, stage.router, "LEAVE\n") == "ok leaving\n");
+  CHECK(!stage.Ask(ping).starts_with("+PONG"));
+  stage.Until([&] { return idle.closed; });
+  CHECK(waits.got == "");
+  CHECK(!waits.closed);
+  End& late = stage.Client(Get("00000000000000aa", "c=read,d=1900"));  // the front has not noticed
+  stage.Until([&] { return stage.member.Count("OBJ.GET") == 2; });
+  for (End& end : stage.member.ends) end.Say(Value("v"));
+  stage.Until([&] { return waits.closed && late.closed; });
+  CHECK(waits.got == "$1\r\nv\r\n");
+  CHECK(late.got == "$1\r\nv\r\n");
+  End& silent = stage.Client("");
+  stage.Until([&] { return silent.closed; });
+
+  CHECK(Call(stage, stage.router, "JOIN\n") == "ok serving\n");
+  End& back = stage.Client(ping);
+  stage.Until([&] { return back.got == "+PONG\r\n"; });
+  stage.Rest();
+  CHECK(!back.closed);
+}
+
+TEST_CASE("drain: a client that never stops asking is answered what it asked, and closed") {
+  Folder folder;
+  End* before = nullptr;  // answered once the next has come, so that something is always owed
+  Stage stage(
+      [&](End& end) {
+        if (End* due = std::exchange(before, &end)) due->Say(Value("v"));
+      },
+      {}, "", 1024, 192, folder.Door());
+  End& busy = stage.Client("");
+  int asked = 0;
+  auto ask = [&] { busy.Say(Get("0000000000000" + std::to_string(100 + asked++ % 900), "c=read,d=900")); };
+  busy.on_read = [&](End&) { ask(); };
+  ask();
+  ask();
+  CHECK(Call(stage, stage.router, "LEAVE\n") == "ok leaving\n");
+  auto from = std::chrono::steady_clock::now();
+  stage.Until([&] { return busy.closed; });
+  CHECK(std::chrono::steady_clock::now() - from < std::chrono::milliseconds(3700));
+  std::size_t answers = 0;
+  for (std::size_t at = 0; (at = busy.got.find("\r\n", at)) != std::string::npos; at += 2)
+    answers += at + 2 >= busy.got.size() || std::string_view("$-").find(busy.got[at + 2]) != std::string_view::npos;
+  CHECK(answers == stage.router.counters().transactions);
+}
+
+}  // namespace
+}  // namespace peatbend::net::test
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -220,7 +220,8 @@
   client.Hang();
   stage.Until([&] { return stage.router.counters().transactions_gone == 1; });
   CHECK(stage.Ask(Get("2000", "c=read,d=900")) == "$1\r\nx\r\n");
-  CHECK(stage.router.counters().rejected + stage.router.counters().failed == 0);
+  using Of = Counters::OfClass;
+  CHECK(stage.router.counters().Sum(&Of::rejected) + stage.router.counters().Sum(&Of::failed) == 0);
 }
 
 TEST_CASE("connections to members are used again, and one found stale is an outcome of its own") {
@@ -398,7 +399,7 @@
   waiting->Say(Value("one"));
   stage.Until([&] { return ended; });
   CHECK(client.got == "$3\r\none\r\n");
-  CHECK(stage.router.counters().served == 2);
+  CHECK(stage.router.counters().Sum(&Counters::OfClass::served) == 2);
   stage.Until([&] { return client.closed; });
 }
 
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -135,11 +135,12 @@
 
   // `more`: further fields of the member in the list that the router starts from.
   explicit Stage(Answer member_answers = {}, Answer origin_answers = {}, const std::string& more = "",
-                 int sockets = 1024, int memory_mb = 192)
-      : member(base.get(), member_answers),
+                 int sockets = 1024, int memory_mb = 192, std::string door = "")
+      : door_(std::move(door)),
+        member(base.get(), member_answers),
         origin(base.get(), origin_answers),
         discovery(base.get()),
-        router(base.get(), Configured(more, sockets, memory_mb)) {}
+        router(base.get(), Configured(more, sockets, memory_mb), {}, door_) {}
 
   // Runs the loop until it holds.
   void Until(const std::function<bool()>& holds) {
@@ -179,7 +180,8 @@
 
   // The configuration that the router was started with.
   Config Configured(const std::string& more = "", int sockets = 1024, int memory_mb = 192) const {
-    std::string text = R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" +
+    std::string text = R"({"name":"n0","listen":"127.0.0.1:0",)" +
+                       std::string(door_.empty() ? "" : R"("admin":"127.0.0.1:0",)") + R"("discovery":"127.0.0.1:)" +
                        std::to_string(discovery.port) + R"(","seed":"7","limits":{"sockets":)" +
                        std::to_string(sockets) + R"(,"memory_mb":)" + std::to_string(memory_mb) +
                        R"(},"known":{"index":41,"snapshot":true,"endpoints":[)" +
@@ -199,6 +201,7 @@
     return ReadConfig({.json = text}, [](const char*) -> const char* { return nullptr; });
   }
 
+  std::string door_;  // not empty: a successor may come there, and there is an operators' address
   EventBasePtr base{event_base_new()};
   Peer member, origin, discovery;
   Router router;
