--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -42,7 +42,7 @@
 // What was begun is with the socket, whole: counted once.
 void MemberConnection::Written() {
   if (attempt_ == nullptr || !written() || std::exchange(dispatched_, true)) return;
-  if (!member_.origin) ++home_.counters_.dispatches;
+  ++home_.counters_.dispatches;
 }
 
 // Asks the socket, since the loop may not have got round to reading what is there.
