Pass values of up to 4 MiB on as they come, within one memory budget

Ruled out: time for heads (no complaint of a client's time). Parsers hand a large value on in pieces, its end only once the member's answer is sound; a client that does not read holds its member back; clients' own large values are kept once.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -31,6 +31,7 @@
   add("served", c.Sum(&Counters::OfClass::served));
   add("rejected", c.Sum(&Counters::OfClass::rejected));
   add("failed", c.Sum(&Counters::OfClass::failed));
+  add("values_cut", c.values_cut);
   add("flows", c.flows);
   add("flows_to_origin", c.flows_to_origin);
   add("dispatches", c.dispatches);
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -16,7 +16,7 @@
   std::uint64_t clients_accepted = 0, clients_closed = 0, clients_closed_for_room = 0;
   std::uint64_t clients_closed_as_idle = 0, ids_in_use = 0;
   std::uint64_t client_malformed = 0, pings = 0, unknown_commands = 0;
-  std::uint64_t transactions = 0, transactions_gone = 0;
+  std::uint64_t transactions = 0, transactions_gone = 0, values_cut = 0;
   // Answered, by class: at the one final answer.
   struct OfClass {
     std::uint64_t served = 0, rejected = 0, failed = 0;
--- a/src/front/client_command.h
+++ b/src/front/client_command.h
@@ -17,6 +17,9 @@
   std::string_view complaint;        // kMalformed
 };
 
+// The item of a command that may be a large value.
+constexpr int kValueItem = 4;
+
 // `message` is a whole one, `buffer` the bytes it was read from.
 ClientCommand ReadCommand(const resp::Message& message, std::string_view buffer, const Settings& settings);
 
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -9,6 +9,10 @@
 namespace peatbend::net {
 namespace {
 constexpr std::size_t kMostMoved = 32 * 1024;  // bytes of a begun command that move to another process
+constexpr std::size_t kLeastUnsent = 32 * 1024, kMostUnsent = 256 * 1024;  // of a large answer, then the member waits
+// Of a large value from a client: bytes a millisecond that it must bring at least; waiting for memory, at most.
+constexpr std::size_t kLeastBytesAMs = 64;
+constexpr Milliseconds kRoomWithin{5000};
 constexpr Milliseconds kLastLinger{300};  // after a last call, for a client to see the end
 }  // namespace
 
@@ -24,6 +28,7 @@
       counters_(counters),
       connected_(clock.Now()),
       quiet_since_(connected_),
+      memory_(home.memory()),
       socket_(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE)) {
   int yes = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
@@ -36,7 +41,7 @@
 ClientSession::~ClientSession() {
   home_.Unread(unread_, 0);
   for (const Owed& owed : owed_) {
-    if (owed.transaction && !owed.answer) decision_.ClientLeft(owed.id);
+    if (owed.transaction && (!owed.answer || owed.value != Owed::Value::kWhole)) decision_.ClientLeft(owed.id);
   }
 }
 
@@ -59,13 +64,15 @@
     return;
   }
   while (evbuffer_get_length(in) > 0 && !closing_) {
+    if (body_ && !TakeBody(in)) break;
+    if (body_ && evbuffer_get_length(in) == 0) break;
     if (Crowded()) {
       bufferevent_disable(socket_.get(), EV_READ);
       break;
     }
     if (!TakeCommand(Contents(in))) break;
   }
-  bool half = evbuffer_get_length(in) > 0 && !closing_ && !Crowded();
+  bool half = (body_ || evbuffer_get_length(in) > 0) && !closing_ && !Crowded();
   if (!half) begun_ = TimePoint::max();
   if (half && begun_ == TimePoint::max()) begun_ = clock_.Now();
   Flush();
@@ -77,18 +84,70 @@
   home_.Unread(std::exchange(unread_, now), now);
 }
 
+// The command that the parser has read; the value of one that came as a body is there already.
+ClientCommand ClientSession::ReadWhole(std::string_view buffer) {
+  if (!body_) return ReadCommand(parser_.message(), buffer, settings_);
+  ClientCommand command{ClientCommand::Kind::kRequest, std::move(body_->request), {}};
+  body_.reset();
+  return command;
+}
+
+// A large value comes next. What stands before it is read now, so that a command that cannot be used is told before
+// its value has come. True if the rest may be read on.
+bool ClientSession::BeginBody(std::string_view buffer) {
+  resp::Message message = parser_.message();
+  message.items.push_back({});
+  message.size = parser_.head();
+  ClientCommand command = ReadCommand(message, buffer, settings_);
+  if (command.kind != ClientCommand::Kind::kRequest) {
+    bool malformed = command.kind == ClientCommand::Kind::kMalformed;
+    return Malformed(malformed ? command.complaint : "a value that does not belong to the command"), false;
+  }
+  Booking memory(home_.memory());
+  if (!memory.Try(parser_.body())) {  // not read till others are done with theirs
+    waits_for_room_ = true;
+    bufferevent_disable(socket_.get(), EV_READ);
+    return false;
+  }
+  body_.emplace(Body{std::move(command.request), parser_.body()});
+  body_->request->memory = std::move(memory);
+  body_->request->body = NewBuffer();
+  evbuffer_drain(bufferevent_get_input(socket_.get()), parser_.head());
+  return true;
+}
+
+// Moves what has come of the value; false if more of it is to come.
+bool ClientSession::TakeBody(evbuffer* in) {
+  if (body_->left > 0) {
+    std::size_t take = std::min(body_->left, evbuffer_get_length(in));
+    evbuffer_remove_buffer(in, body_->request->body.get(), take);
+    body_->left -= take;
+    if (body_->left > 0) return false;
+    parser_.BodyTaken();
+  }
+  return true;
+}
+
+void ClientSession::TryAgain() {
+  if (!std::exchange(waits_for_room_, false)) return;
+  bufferevent_enable(socket_.get(), EV_READ);
+  Read();
+}
+
 // False if there is no whole command.
 bool ClientSession::TakeCommand(std::string_view buffer) {
-  if (buffer[0] != '*') return Malformed("expected an array"), false;
+  if (!body_ && buffer[0] != '*') return Malformed("expected an array"), false;
   switch (parser_.Advance(buffer)) {
     case resp::Parser::Status::kMore:
       return false;
     case resp::Parser::Status::kBad:
       return Malformed(parser_.error()), false;
+    case resp::Parser::Status::kBody:
+      return BeginBody(buffer);
     case resp::Parser::Status::kDone:
       break;
   }
-  ClientCommand command = ReadCommand(parser_.message(), buffer, settings_);
+  ClientCommand command = ReadWhole(buffer);
   using Kind = ClientCommand::Kind;
   if (command.kind == Kind::kMalformed) return Malformed(command.complaint), false;
   evbuffer_drain(bufferevent_get_input(socket_.get()), parser_.message().size);
@@ -140,8 +199,11 @@
   log_.Line("client malformed", complaint);
   closing_ = true;
   begun_ = TimePoint::max();
+  body_.reset();
+  waits_for_room_ = false;
   evbuffer* in = bufferevent_get_input(socket_.get());
   evbuffer_drain(in, evbuffer_get_length(in));
+  bufferevent_enable(socket_.get(), EV_READ);
   Say(std::string("-ERR ").append(complaint).append("\r\n"));
 }
 
@@ -168,19 +230,61 @@
   Flush();
 }
 
-// Writes the answers that are there, up to the first that is not, as one piece.
+void ClientSession::Begins(std::uint64_t place, std::size_t length) {
+  Owed& owed = At(place);
+  owed.answer = NewBuffer();
+  owed.value = Owed::Value::kComes;
+  evbuffer_add_printf(owed.answer.get(), "$%zu\r\n", length);
+}
+
+bool ClientSession::Piece(std::uint64_t place, evbuffer* bytes) {
+  Owed& owed = At(place);
+  evbuffer_add_buffer(owed.answer.get(), bytes);
+  Flush();
+  std::size_t waits = Unsent();
+  memory_.Set(waits);
+  if (waits < std::clamp(home_.memory().free() / 8, kLeastUnsent, kMostUnsent)) return true;
+  owed.value = Owed::Value::kWaits;
+  return false;
+}
+
+// A value that is not whole ends the connection; where none of it was written yet, an error can still be told.
+void ClientSession::Ends(std::uint64_t place, bool whole) {
+  Owed& owed = At(place);
+  owed.value = Owed::Value::kWhole;
+  if (!whole && place == first_) {
+    ++counters_.values_cut;
+    return Leave();
+  }
+  if (whole) {
+    Append(owed.answer.get(), "\r\n");
+    Flush();
+    return memory_.Set(Unsent());
+  }
+  Failed(place);
+}
+
+// Bytes of answers that the client has not taken.
+std::size_t ClientSession::Unsent() const {
+  std::size_t size = evbuffer_get_length(bufferevent_get_output(socket_.get()));
+  for (const Owed& owed : owed_) size += owed.answer ? evbuffer_get_length(owed.answer.get()) : 0;
+  return size;
+}
+
+// Writes the answers that are there, up to the first that is not whole, as one piece.
 void ClientSession::Flush() {
-  if (owed_.empty() || !owed_.front().answer) return;
-  BufferPtr out = std::move(owed_.front().answer);
-  for (;;) {
+  BufferPtr out = NewBuffer();
+  while (!owed_.empty() && owed_.front().answer) {
+    evbuffer_add_buffer(out.get(), owed_.front().answer.get());
+    if (owed_.front().value != Owed::Value::kWhole) break;
     owed_.pop_front();
     ++first_;
-    if (owed_.empty() || !owed_.front().answer) break;
-    evbuffer_add_buffer(out.get(), owed_.front().answer.get());
   }
+  if (evbuffer_get_length(out.get()) == 0) return;
   quiet_since_ = clock_.Now();
   // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
-  bool told = closing_ || home_.doors().rest() != Doors::Rest::kStays || (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0;
+  bool waits = !owed_.empty() && owed_.front().value == Owed::Value::kWaits;
+  bool told = closing_ || waits || home_.doors().rest() != Doors::Rest::kStays || (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0;
   if (told) {
     bufferevent_write_buffer(socket_.get(), out.get());
   } else {
@@ -189,20 +293,25 @@
 }
 
 void ClientSession::Written() {  // all that was to be written is
+  memory_.Set(Unsent());
+  if (!owed_.empty() && owed_.front().value == Owed::Value::kWaits) {
+    owed_.front().value = Owed::Value::kComes;
+    return decision_.GoOn(owed_.front().id);
+  }
   if (closing_ && owed_.empty()) {
     shutdown(bufferevent_getfd(socket_.get()), SHUT_WR);  // read on, lest a reset overtake the answer
     turned_away_ = clock_.Now();
     return;
   }
   if (home_.doors().rest() != Doors::Rest::kStays && at_rest()) return home_.AtRest(*this);
-  if (!closing_ && (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0 && !Crowded()) {
+  if (!closing_ && !waits_for_room_ && (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0 && !Crowded()) {
     bufferevent_enable(socket_.get(), EV_READ);
     Read();
   }
 }
 
 bool ClientSession::idle() const {
-  return owed_.empty() && evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0 &&
+  return owed_.empty() && !body_ && evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0 &&
          evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
 }
 
@@ -211,7 +320,10 @@
     return turned_away_ + (last_call_ ? std::min(tuning_.linger, kLastLinger) : tuning_.linger);
   if (closing_) return TimePoint::max();
   if (!asked_) return connected_ + tuning_.first_command;
-  if (half_sent()) return begun_ + tuning_.command;
+  if (half_sent()) {  // a large value is given time by what has come of it
+    auto got = body_ ? evbuffer_get_length(body_->request->body.get()) : 0;
+    return begun_ + tuning_.command + (waits_for_room_ ? kRoomWithin : Milliseconds(got / kLeastBytesAMs));
+  }
   return idle() ? quiet_since_ + tuning_.idle : TimePoint::max();
 }
 
@@ -242,6 +354,8 @@
 void ClientSession::LastCall() {
   if (closing_) return;
   last_call_ = closing_ = true;
+  body_.reset();
+  waits_for_room_ = false;
   begun_ = TimePoint::max();
   evbuffer* in = bufferevent_get_input(socket_.get());
   evbuffer_drain(in, evbuffer_get_length(in));
@@ -251,7 +365,7 @@
 }
 
 bool ClientSession::may_move() const {
-  return at_rest() && evbuffer_get_length(bufferevent_get_input(socket_.get())) <= kMostMoved;
+  return at_rest() && !body_ && evbuffer_get_length(bufferevent_get_input(socket_.get())) <= kMostMoved;
 }
 
 evutil_socket_t ClientSession::Release(std::string& begun) {
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "base/counters.h"
@@ -28,6 +29,7 @@
   virtual void End(ClientSession& session) = 0;
   // A session holds so many bytes of a command that is not whole, after so many before.
   virtual void Unread(std::size_t before, std::size_t now) = 0;
+  virtual MemoryBudget& memory() = 0;
   // Nothing is owed on the session, and its connection is not to stay: may destroy it.
   virtual void AtRest(ClientSession& session) = 0;
   virtual const Doors& doors() const = 0;
@@ -43,6 +45,9 @@
   void Served(std::uint64_t place, evbuffer* value) override;
   void Rejected(std::uint64_t place, Duration come_back) override;
   void Failed(std::uint64_t place) override;
+  void Begins(std::uint64_t place, std::size_t length) override;
+  bool Piece(std::uint64_t place, evbuffer* bytes) override;
+  void Ends(std::uint64_t place, bool whole) override;
 
   // Nothing is owed and nothing has begun to arrive.
   bool idle() const;
@@ -52,6 +57,9 @@
   bool at_rest() const;
   bool asked() const { return asked_; }
   TimePoint connected() const { return connected_; }
+  // There may be memory for a large value again.
+  void TryAgain();
+  bool waits_for_room() const { return waits_for_room_; }
   // At rest, and what has come is small enough to go with it to another process.
   bool may_move() const;
   // Gives up the socket, and what came of a command that is not whole; the session is to be ended then.
@@ -76,6 +84,7 @@
  private:
   struct Owed {
     BufferPtr answer;  // null: not there yet
+    enum class Value { kWhole, kComes, kWaits } value = Value::kWhole;  // the latter: the member is not read
     RequestId id{};
     bool transaction = false;
   };
@@ -83,12 +92,16 @@
   static void OnWritten(bufferevent*, void* self) { static_cast<ClientSession*>(self)->Written(); }
   static void OnEvent(bufferevent*, short what, void* self);
   void Read();
+  ClientCommand ReadWhole(std::string_view buffer);
+  bool BeginBody(std::string_view buffer);
+  bool TakeBody(evbuffer* in);
   bool TakeCommand(std::string_view buffer);
   void Malformed(std::string_view complaint);
   void Account();
   void Say(std::string_view answer);
   Owed& At(std::uint64_t place) { return owed_[place - first_]; }
   void Flush();
+  std::size_t Unsent() const;
   void Written();
   bool Crowded() const;
   void Leave();
@@ -100,7 +113,13 @@
   const Clock& clock_;
   Log& log_;
   Counters& counters_;
-  resp::Parser parser_;
+  resp::Parser parser_{kValueItem};
+  struct Body {
+    std::unique_ptr<Request> request;
+    std::size_t left;  // bytes of its value that have not come
+  };
+  std::optional<Body> body_;     // a large value is coming
+  bool waits_for_room_ = false;  // for memory for one; not read meanwhile
   std::deque<Owed> owed_;                     // answers owed, in the commands' order
   std::uint64_t first_ = 0;                   // place of the first of them
   bool closing_ = false;                      // no more is read; ends when all is written
@@ -110,6 +129,7 @@
   TimePoint begun_ = TimePoint::max();        // a command that is not whole yet began to arrive; max: none
   TimePoint turned_away_ = TimePoint::max();  // its -ERR was written
   bool last_call_ = false;
+  Booking memory_;  // for what waits of large answers
   BuffereventPtr socket_;
 };
 
--- a/src/front/listener.cpp
+++ b/src/front/listener.cpp
@@ -20,7 +20,7 @@
 
 Listener::Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision, const Settings& settings,
                    const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread,
-                   const Clock& clock, Log& log, Counters& counters)
+                   MemoryBudget& memory, const Clock& clock, Log& log, Counters& counters)
     : base_(base),
       doors_(doors),
       hand_on_(std::move(hand_on)),
@@ -29,6 +29,7 @@
       tuning_(tuning),
       sockets_(sockets),
       most_unread_(most_unread),
+      memory_(memory),
       clock_(clock),
       log_(log),
       counters_(counters),
@@ -151,6 +152,9 @@
   if (rest == Doors::Rest::kCloses && closing_since_ == TimePoint::max()) closing_since_ = now;
   for (auto at = sessions_.begin(); at != sessions_.end();) {
     ClientSession& session = **at++;
+    if (session.waits_for_room() && memory_.free() > 0) {
+      session.TryAgain();
+    }
     bool goes = rest == Doors::Rest::kGoesToSuccessor && session.at_rest();
     if (goes && hand_on_(session)) {
       End(session);
--- a/src/front/listener.h
+++ b/src/front/listener.h
@@ -21,7 +21,7 @@
   // process that follows, and says whether it did; the listener then ends it.
   using HandOn = std::function<bool(ClientSession&)>;
   Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision, const Settings& settings,
-           const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread, const Clock& clock,
+           const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread, MemoryBudget& memory, const Clock& clock,
            Log& log, Counters& counters);
   ~Listener() override;
 
@@ -29,6 +29,7 @@
   void Unread(std::size_t before, std::size_t now) override;
   void AtRest(ClientSession& session) override;
   const Doors& doors() const override { return doors_; }
+  MemoryBudget& memory() override { return memory_; }
   // Whether connections are taken; the socket stays open either way.
   void Accept(bool yes);
   // Ends or hands on what is at rest, as the doors say now.
@@ -58,6 +59,7 @@
   const Tuning::Clients& tuning_;
   SocketBudget& sockets_;
   std::size_t unread_ = 0, most_unread_;  // bytes of commands that are not whole, of all sessions
+  MemoryBudget& memory_;
   const Clock& clock_;
   Log& log_;
   Counters& counters_;
--- a/src/member/attempt.h
+++ b/src/member/attempt.h
@@ -12,6 +12,10 @@
  public:
   virtual ~Attempt() = default;
   virtual const std::string& member() const = 0;
+  // Its value is passed on as it comes. False: nobody wants it, and the connection is gone.
+  virtual bool Began(std::size_t length) = 0;
+  // The bytes are taken. False: no more till Resume, or the connection is gone, as `gone` tells.
+  virtual bool Piece(evbuffer* bytes, bool& gone) = 0;
   // One of these, once; the connection has let go of the attempt by then.
   virtual void Answered(FlowReply reply) = 0;
   // `written`: the request's last byte was handed to the socket, so it may have run.
--- a/src/member/member_codec.cpp
+++ b/src/member/member_codec.cpp
@@ -1,4 +1,6 @@
 // RESP to and from the pool members that cache.
+#include <algorithm>
+
 #include "member/server_codec.h"
 #include "protocol/facts.h"
 #include "protocol/resp.h"
@@ -22,18 +24,29 @@
  public:
   void Encode(const Request& request, Duration limit, evbuffer* out) override {
     parser_.Reset();
+    value_ = NewBuffer();
+    length_ = left_ = 0;
     reusable_ = true;
     evbuffer_add_printf(out, "*%d\r\n", request.write ? 5 : 4);
     AppendBulk(out, request.command);
     AppendBulk(out, request.key);
     AppendBulk(out, request.id);
     AppendBulk(out, WithLimit(request.facts, limit));
-    if (request.write) AppendBulk(out, request.value);
+    if (request.write) {
+      evbuffer_add_printf(out, "$%zu\r\n", ValueSize(request));
+      AppendValue(request, out);
+      Append(out, "\r\n");
+    }
   }
 
   std::optional<FlowReply> Read(evbuffer* in) override {
+    if (left_ > 0 && !TakeBody(in)) return std::nullopt;
     std::string_view text = Contents(in);
     switch (parser_.Advance(text)) {
+      case resp::Parser::Status::kBody:
+        length_ = left_ = parser_.body();
+        evbuffer_drain(in, parser_.head());
+        return Read(in);
       case resp::Parser::Status::kMore:
         return std::nullopt;
       case resp::Parser::Status::kBad:
@@ -57,7 +70,10 @@
       reply.load = ParseLoadReport(message.items[2].In(text));
       resp::Slice value = message.items[0];
       reply.result = value.null ? Result::kMiss : Result::kGood;
-      if (!value.null) {
+      if (length_ > 0) {
+        reply.value = std::move(value_);
+        length_ = 0;
+      } else if (!value.null) {
         reply.value = NewBuffer();
         evbuffer_drain(in, value.at);
         evbuffer_remove_buffer(in, reply.value.get(), value.size);
@@ -71,15 +87,30 @@
   }
 
   bool reusable() const override { return reusable_; }
+  std::optional<std::size_t> Streams() const override {
+    bool some = left_ < length_;
+    return some ? std::optional(length_) : std::nullopt;
+  }
+  void Pass(evbuffer* out) override { evbuffer_add_buffer(out, value_.get()); }
 
  private:
+  // Whether the body has come whole.
+  bool TakeBody(evbuffer* in) {
+    std::size_t take = std::min(left_, evbuffer_get_length(in));
+    evbuffer_remove_buffer(in, value_.get(), take);
+    left_ -= take;
+    if (left_ == 0) parser_.BodyTaken();
+    return left_ == 0;
+  }
   FlowReply Malformed(std::string_view complaint) {
     reusable_ = false;
     FlowReply reply;
     reply.complaint = complaint;
     return reply;
   }
-  resp::Parser parser_;
+  resp::Parser parser_{0};
+  BufferPtr value_ = NewBuffer();         // of a large value: what has come and was not passed on
+  std::size_t length_ = 0, left_ = 0;     // of a large value: its length, and what has not come
   bool reusable_ = true;
 };
 
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -7,6 +7,10 @@
 #include <cerrno>
 
 namespace peatbend::net {
+namespace {
+constexpr std::size_t kMostUnread = 128 * 1024;  // bytes read ahead of what is taken
+}  // namespace
+
 MemberConnection::MemberConnection(MemberConnections& home, Member& member,
                                    std::unique_ptr<ServerCodec> codec)
     : home_(home), member_(member), codec_(std::move(codec)), timer_(home.base_, [this] { Break(); }) {
@@ -24,6 +28,7 @@
   }
   int yes = 1;
   setsockopt(bufferevent_getfd(socket_.get()), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  bufferevent_setwatermark(socket_.get(), EV_READ, 0, kMostUnread);
   bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
   timer_.Set(timeout);
   return true;
@@ -31,7 +36,7 @@
 
 void MemberConnection::Begin(Attempt& attempt, const Request& request, Duration limit) {
   attempt_ = &attempt;
-  dispatched_ = false;
+  dispatched_ = began_ = paused_ = false;
   if (connected_) timer_.Stop();
   if (!connected_) return codec_->Encode(request, limit, bufferevent_get_output(socket_.get()));
   BufferPtr text = NewBuffer();
@@ -67,18 +72,49 @@
     ++home_.counters_.closed_as_stray;
     return Break();
   }
-  if (auto reply = codec_->Read(bufferevent_get_input(socket_.get()))) {
+  if (paused_) return;
+  auto reply = codec_->Read(bufferevent_get_input(socket_.get()));
+  if ((!reply || began_) && !PassOn(reply ? reply->value.get() : nullptr)) return;
+  if (reply) {
     bool keep =
         codec_->reusable() && written() && evbuffer_get_length(bufferevent_get_input(socket_.get())) == 0;
     Finish(std::move(*reply), keep);
   }
 }
 
+// Passes on what has come of a large value, `last` being the rest of it; false if the connection is gone, or is to wait.
+bool MemberConnection::PassOn(evbuffer* last) {
+  if (!codec_->Streams() && !began_) return true;
+  if (!began_) {
+    began_ = true;
+    if (!attempt_->Began(*codec_->Streams())) return false;
+  }
+  BufferPtr piece = NewBuffer();
+  if (last != nullptr) {
+    evbuffer_add_buffer(piece.get(), last);
+  } else {
+    codec_->Pass(piece.get());
+  }
+  bool gone = false;
+  if (evbuffer_get_length(piece.get()) == 0 || attempt_->Piece(piece.get(), gone)) return true;
+  if (gone) return false;
+  paused_ = true;
+  bufferevent_disable(socket_.get(), EV_READ);
+  return true;
+}
+
+void MemberConnection::Resume() {
+  if (!std::exchange(paused_, false)) return;
+  bufferevent_enable(socket_.get(), EV_READ);
+  Read();
+}
+
 void MemberConnection::Finish(FlowReply reply, bool keep) {
   if (!reply.complaint.empty()) {
     ++home_.counters_.member_malformed;
     home_.log_.Line("member malformed", member_.name + ": " + std::string(reply.complaint));
   }
+  if (std::exchange(paused_, false)) bufferevent_enable(socket_.get(), EV_READ);
   Attempt* attempt = std::exchange(attempt_, nullptr);
   keep ? home_.Idle(*this) : home_.Close(*this);
   attempt->Answered(std::move(reply));
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -37,6 +37,8 @@
   void Abandon();
   // Whether nothing has come on it since the last answer, nor the other end closed it.
   bool Quiet() const;
+  // After a piece that was the last for a while.
+  void Resume();
   // Whether the request's last byte was handed to the socket. Queued here is not written.
   bool written() const;
 
@@ -49,6 +51,7 @@
   }
   void Read();
   void Written();
+  bool PassOn(evbuffer* last);
   void Happened(short what);
   void Finish(FlowReply reply, bool keep);
   void Break();
@@ -59,6 +62,7 @@
   Attempt* attempt_ = nullptr;
   bool connected_ = false;
   bool dispatched_ = false;  // the attempt's last byte was handed to the socket, and counted
+  bool began_ = false, paused_ = false;  // the answer's value is being passed on; and is not read for now
   TimePoint idle_since_{};
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
   Timer timer_;  // dialling: not up in time; idle: to be closed
--- a/src/member/origin.cpp
+++ b/src/member/origin.cpp
@@ -9,7 +9,8 @@
 class OriginCodec : public ServerCodec {
  public:
   void Encode(const Request& request, Duration, evbuffer* out) override {
-    reader_.emplace(resp::kMaxValue);
+    reader_.emplace(resp::kMaxBody);
+    whole_ = passed_ = false;
     auto add = [out](std::string_view text) { Append(out, text); };
     add(request.write ? "PUT /" : "GET /");
     add(request.key);
@@ -17,9 +18,9 @@
     add(request.id);
     add("\r\nX-Facts: ");
     add(request.facts);  // as received
-    if (request.write) evbuffer_add_printf(out, "\r\nContent-Length: %zu", request.value.size());
+    if (request.write) evbuffer_add_printf(out, "\r\nContent-Length: %zu", ValueSize(request));
     add("\r\n\r\n");
-    add(request.value);
+    AppendValue(request, out);
   }
 
   std::optional<FlowReply> Read(evbuffer* in) override {
@@ -44,6 +45,16 @@
   }
 
   bool reusable() const override { return whole_ && reader_->keep_alive(); }
+  std::optional<std::size_t> Streams() const override {
+    bool large = reader_ && reader_->has_head() && reader_->status() == 200 &&
+                 reader_->length().value_or(0) > resp::kMaxValue;
+    bool some = large && (passed_ || evbuffer_get_length(reader_->body()) > 0);
+    return some ? reader_->length() : std::nullopt;
+  }
+  void Pass(evbuffer* out) override {
+    passed_ = true;
+    evbuffer_add_buffer(out, reader_->body());
+  }
 
  private:
   FlowReply Reply() {
@@ -63,7 +74,7 @@
     return reply;
   }
   std::optional<http1::ResponseReader> reader_;
-  bool whole_ = false;
+  bool whole_ = false, passed_ = false;  // the answer is there; some of its body was passed on
 };
 
 }  // namespace
--- a/src/protocol/http1.h
+++ b/src/protocol/http1.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,7 +18,9 @@
  public:
   enum class Status { kMore, kDone, kBad };
   // `max_body`: more than that standing in body() at once is refused.
-  explicit ResponseReader(std::size_t max_body) : max_body_(max_body) {}
+  // `max_length`: of a Content-Length; 0: as `max_body`.
+  explicit ResponseReader(std::size_t max_body, std::size_t max_length = 0)
+      : max_body_(max_body), max_length_(max_length > 0 ? max_length : max_body) {}
 
   Status Read(evbuffer* in);
   // The connection has ended.
@@ -29,7 +32,9 @@
   // The value of a header as sent, the first if there are several; empty if there is none. Name in lower
   // case.
   std::string Header(std::string_view name) const;
-  evbuffer* body() { return body_.get(); }
+  // As Content-Length says; nothing where the length is not told.
+  std::optional<std::size_t> length() const { return length_; }
+  evbuffer* body() const { return body_.get(); }
   std::string_view error() const { return error_; }
 
  private:
@@ -40,7 +45,8 @@
   Status ReadLine(evbuffer* in, std::string& line);
   bool Move(evbuffer* in);
 
-  std::size_t max_body_;
+  std::size_t max_body_, max_length_;
+  std::optional<std::size_t> length_;
   Part part_ = Part::kHead;
   int status_ = 0;
   bool keep_alive_ = true;
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -35,17 +35,19 @@
 
 // One bulk string, its length line included.
 Parser::Status Parser::Bulk(std::string_view buffer) {
+  bool may_be_body = message_.type == Type::kArray && static_cast<int>(message_.items.size()) == body_item_;
   if (bulk_ < 0) {
     std::string_view line;
     if (at_ < buffer.size() && buffer[at_] != '$') return Bad("expected a bulk string");
     if (Status status = Line(buffer, line); status != Status::kDone) return status;
-    if (!ParseLength(line.substr(1), kMaxValue, bulk_)) return Bad("bad bulk length");
+    if (!ParseLength(line.substr(1), may_be_body ? kMaxBody : kMaxValue, bulk_)) return Bad("bad bulk length");
     if (bulk_ < 0) {
       message_.items.push_back({.null = true});
       return Status::kDone;
     }
   }
   auto size = static_cast<std::size_t>(bulk_);
+  if (size > kMaxValue) return Status::kBody;
   if (at_ + size + 2 > kMaxMessage) return Bad("message too long");
   if (buffer.size() < at_ + size + 2) return Status::kMore;
   if (buffer.substr(at_ + size, 2) != "\r\n") return Bad("bulk string not ended");
@@ -55,7 +57,21 @@
   return Status::kDone;
 }
 
+void Parser::BodyTaken() {
+  message_.items.push_back({});
+  --items_left_;
+  bulk_ = -1;
+  at_ = scanned_ = 0;
+  after_body_ = true;
+}
+
 Parser::Status Parser::Advance(std::string_view buffer) {
+  if (after_body_) {
+    std::string_view end = "\r\n";
+    if (!buffer.starts_with(end)) return end.starts_with(buffer) ? Status::kMore : Bad("bulk string not ended");
+    at_ = end.size();
+    after_body_ = false;
+  }
   if (items_left_ < 0) {
     if (buffer.empty()) return Status::kMore;
     switch (buffer[0]) {
--- a/src/protocol/resp.h
+++ b/src/protocol/resp.h
@@ -10,6 +10,7 @@
 namespace peatbend::net::resp {
 
 constexpr std::size_t kMaxValue = 64 * 1024;               // bytes of one bulk string
+constexpr std::size_t kMaxBody = 4 * 1024 * 1024;         // of one that is passed on as it comes
 constexpr std::size_t kMaxItems = 16;                      // of an array
 constexpr std::size_t kMaxMessage = kMaxValue + 8 * 1024;  // what a message may take in all
 constexpr std::size_t kMaxLine = 1024;                     // of a simple string, error or length
@@ -31,17 +32,28 @@
 
 class Parser {
  public:
-  enum class Status { kMore, kDone, kBad };
+  // kBody: a bulk string of more than kMaxValue comes next, of body() bytes. The first head() bytes of the buffer
+  // stand before it. Whoever reads takes these and the body out of the buffer, calls BodyTaken and goes on with
+  // what follows.
+  enum class Status { kMore, kDone, kBad, kBody };
+  // `body_item`: the item of an array that may be a body; without one all are bounded by kMaxValue.
+  explicit Parser(int body_item = -1) : body_item_(body_item) {}
   // `buffer` starts with the message, of which more may have come since the last call.
   Status Advance(std::string_view buffer);
   const Message& message() const { return message_; }
   std::string_view error() const { return error_; }
-  void Reset() { *this = Parser(); }
+  void Reset() { *this = Parser(body_item_); }
+  std::size_t body() const { return static_cast<std::size_t>(bulk_); }
+  std::size_t head() const { return at_; }
+  // The body's item is an empty slice then, and the message's size is that of what stood behind it.
+  void BodyTaken();
 
  private:
   Status Bad(std::string_view error);
   Status Line(std::string_view buffer, std::string_view& line);
   Status Bulk(std::string_view buffer);
+  int body_item_;
+  bool after_body_ = false;  // what comes next is the end of the body's bulk string
   Message message_;
   std::string_view error_;
   std::size_t at_ = 0, scanned_ = 0;  // what comes next; no line end before this
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -22,6 +22,8 @@
 // How often the successor is told what is free for it; of the descriptors held then, for flows that go on.
 constexpr std::chrono::milliseconds kTellKeepsEvery{50}, kEndAgain{5};
 constexpr std::int64_t kForFlows = 4;
+// Of the memory: for large values, over all transactions.
+constexpr double kValuesShare = 0.3;
 
 std::int64_t Others(const Config& config) {
   return kOtherDescriptors + (config.admin.empty() ? 0 : static_cast<std::int64_t>(kAdminDescriptors));
@@ -72,7 +74,7 @@
                 running_.tuning.clients, sockets_,
                 static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte *
                                          config.tuning.memory.unread_share),
-                clock_, log_, counters_),
+                memory_, clock_, log_, counters_),
       door_(std::move(door)),
       late_clients_over_(base,
                          [this] {
@@ -83,6 +85,7 @@
       end_(base, [this] { End(); }) {
   running_.known = {};  // read once; the list moves on without it
   ShareDescriptors();
+  memory_.most = static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte * kValuesShare);
   if (!config.admin.empty()) admin_ = std::make_unique<AdminServer>(base, config.admin, *this, clock_, log_);
   decision_.OnReady([this] {
     if (life_.PoolThere()) Moved();
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -37,6 +37,7 @@
   void Reload(const std::function<Config()>& load);
   void PrintCounters() { log_.Counts("counters", Describe(counters_)); }
   const Counters& counters() const { return counters_; }
+  const MemoryBudget& memory() const { return memory_; }
   const LifeCycle& life() const { return life_; }
   int port() const { return listener_.port(); }
   // That this process may hold now, or holds if that is more.
@@ -70,6 +71,7 @@
   std::string_view told_;  // its name as last logged
   std::int64_t predecessor_keeps_ = 0;
   SocketBudget sockets_;
+  MemoryBudget memory_;
   MemberConnections connections_;
   Decision decision_;
   Pool pool_;
--- a/src/stage/decision.cpp
+++ b/src/stage/decision.cpp
@@ -73,6 +73,25 @@
   Post(std::move(news));
 }
 
+bool Decision::FlowBegan(ServerSideFlow& flow, std::size_t length) {
+  Transaction* transaction = Find(flow.id());
+  if (transaction == nullptr || !transaction->Begin(flow.attempt(), length)) return false;
+  Post(Began{flow.id(), flow.attempt()});
+  return true;
+}
+
+FlowOwner::Next Decision::FlowPiece(ServerSideFlow& flow, evbuffer* bytes) {
+  Transaction* transaction = Find(flow.id());
+  if (transaction == nullptr || transaction->streams() != flow.attempt()) return Next::kNotWanted;
+  return transaction->Piece(bytes) ? Next::kMore : Next::kWait;
+}
+
+void Decision::GoOn(RequestId id) {
+  Transaction* transaction = Find(id);
+  if (transaction == nullptr) return;
+  if (ServerSideFlow* flow = StreamOf(*transaction)) flow->GoOn();
+}
+
 void Decision::FlowEnded(ServerSideFlow& flow, FlowReply reply) {
   ++counters_.outcomes[static_cast<std::size_t>(reply.result)];
   Post(Ended{flow.id(), flow.attempt(), flow.member(), std::move(reply), flow.elapsed()});
@@ -125,12 +144,21 @@
 
 void Decision::On(Left& left) {
   Ask(GoneEvent{left.id});
+  Transaction* transaction = Find(left.id);
+  if (transaction != nullptr && transaction->left_at() >= 0) {  // nobody takes the rest of the value
+    auto& flow = transaction->flows()[static_cast<std::size_t>(transaction->left_at())];
+    if (flow) flow->Cancel();
+  }
   ForgetIfOver(left.id);
 }
 
+void Decision::On(Began& began) { Ask(StreamStartEvent{began.id, began.attempt}); }
+
 void Decision::On(Ended& ended) {
   Transaction* transaction = Find(ended.id);
-  if (transaction != nullptr && ended.reply.result == Result::kGood) {
+  if (transaction != nullptr && transaction->streams() == ended.attempt) {
+    transaction->EndValue(ended.reply.result == Result::kGood);
+  } else if (transaction != nullptr && ended.reply.result == Result::kGood) {
     transaction->Serve(ended.reply.value.get());
   }
   OutcomeEvent event;
@@ -164,7 +192,7 @@
   flows.push_back(std::make_unique<ServerSideFlow>(*this, base_, clock_, send.id, attempt, send.server.name));
   ++transaction->open_flows;
   Duration left = transaction->deadline() - clock_.Now();
-  if (transaction->finished() || left <= Duration::zero() || attempt >= settings_.try_limit) {
+  if (transaction->finished() || transaction->streams() >= 0 || left <= Duration::zero() || attempt >= settings_.try_limit) {
     ++counters_.outcomes[static_cast<std::size_t>(Result::kNeverSent)];
     return Post(Ended{send.id, attempt, send.server.name, std::move(never), {}});
   }
@@ -190,6 +218,7 @@
   Transaction* transaction = Find(cancel.id);
   auto attempt = static_cast<std::size_t>(cancel.attempt);
   if (transaction == nullptr || attempt >= transaction->flows().size()) return;
+  if (transaction->streams() == cancel.attempt) return;  // its value has begun to go to the client
   if (ServerSideFlow* flow = transaction->flows()[attempt].get()) flow->Cancel();
 }
 
@@ -210,6 +239,11 @@
   return at == transactions_.end() ? nullptr : at->second.get();
 }
 
+ServerSideFlow* Decision::StreamOf(Transaction& transaction) {
+  int attempt = transaction.streams();
+  return attempt < 0 ? nullptr : transaction.flows()[static_cast<std::size_t>(attempt)].get();
+}
+
 void Decision::ForgetIfOver(RequestId id) {
   Transaction* transaction = Find(id);
   if (transaction == nullptr || !transaction->finished()) return;
--- a/src/stage/decision.h
+++ b/src/stage/decision.h
@@ -38,6 +38,10 @@
   void ClientLeft(RequestId id);
   void PoolNews(Scope scope, std::vector<PoolEntry> entries);
   void FlowEnded(ServerSideFlow& flow, FlowReply reply) override;
+  bool FlowBegan(ServerSideFlow& flow, std::size_t length) override;
+  Next FlowPiece(ServerSideFlow& flow, evbuffer* bytes) override;
+  // The client has taken what waited for it of a large value.
+  void GoOn(RequestId id);
 
   bool ready() const { return ready_; }  // there is a pool to serve from
   std::size_t transactions() const { return transactions_.size(); }
@@ -63,16 +67,21 @@
     FlowReply reply;
     Duration elapsed;
   };
+  struct Began {
+    RequestId id;
+    int attempt;
+  };
   struct Due {
     TimerMark mark;
   };
-  using Pending = std::variant<News, Taken, Left, Ended, Due>;
+  using Pending = std::variant<News, Taken, Left, Began, Ended, Due>;
 
   void Post(Pending event);
   void Drain();
   void On(News& news);
   void On(Taken& taken);
   void On(Left& left);
+  void On(Began& began);
   void On(Ended& ended);
   void On(Due& due);
   void Ask(const Event& event);
@@ -86,6 +95,7 @@
   void Do(const Release& release);
   void Do(const peatbend::Log& line);
   Transaction* Find(RequestId id);
+  ServerSideFlow* StreamOf(Transaction& transaction);
   void ForgetIfOver(RequestId id);
   void ArmTimer();
   void TimersDue();
--- a/src/stage/server_side_flow.cpp
+++ b/src/stage/server_side_flow.cpp
@@ -3,6 +3,9 @@
 #include "member/member_connections.h"
 
 namespace peatbend::net {
+namespace {
+constexpr std::chrono::seconds kSilence{6};  // in the middle of a value: the member has gone without a word
+}  // namespace
 
 ServerSideFlow::~ServerSideFlow() {
   if (connection_ != nullptr) connection_->Abandon();
@@ -17,6 +20,35 @@
   limit_.Set(limit);
 }
 
+bool ServerSideFlow::Began(std::size_t length) {
+  began_ = clock_.Now();
+  if (!owner_.FlowBegan(*this, length)) return Cancel(), false;
+  limit_.Set(kSilence);
+  return true;
+}
+
+bool ServerSideFlow::Piece(evbuffer* bytes, bool& gone) {
+  switch (owner_.FlowPiece(*this, bytes)) {
+    case FlowOwner::Next::kMore:
+      limit_.Set(kSilence);
+      return true;
+    case FlowOwner::Next::kWait:
+      limit_.Stop();
+      return false;
+    case FlowOwner::Next::kNotWanted:
+      break;
+  }
+  gone = true;
+  Cancel();
+  return false;
+}
+
+void ServerSideFlow::GoOn() {
+  if (ended_ || connection_ == nullptr) return;
+  limit_.Set(kSilence);
+  connection_->Resume();
+}
+
 void ServerSideFlow::Cancel() {
   if (ended_) return;
   LeaveConnection();
--- a/src/stage/server_side_flow.h
+++ b/src/stage/server_side_flow.h
@@ -19,6 +19,10 @@
   virtual ~FlowOwner() = default;
   // Comes once for each flow, possibly from within Start or Cancel. The flow must outlive the call.
   virtual void FlowEnded(ServerSideFlow& flow, FlowReply reply) = 0;
+  // A large value has begun to come. False: it is not wanted.
+  virtual bool FlowBegan(ServerSideFlow& flow, std::size_t length) = 0;
+  enum class Next { kMore, kWait, kNotWanted };
+  virtual Next FlowPiece(ServerSideFlow& flow, evbuffer* bytes) = 0;
 };
 
 class ServerSideFlow : public Attempt {
@@ -36,6 +40,11 @@
   void Start(MemberConnections& connections, const Request& request, Duration limit);
   void Cancel();
 
+  // More of a large value may come, after Next::kWait.
+  void GoOn();
+
+  bool Began(std::size_t length) override;
+  bool Piece(evbuffer* bytes, bool& gone) override;
   // From the connection, which lets go of the flow first.
   void Answered(FlowReply reply) override { End(std::move(reply)); }
   void Broken(bool written) override { EndWith(written ? Result::kReset : Result::kNoConn); }
@@ -43,7 +52,8 @@
   RequestId id() const { return id_; }
   int attempt() const { return attempt_; }
   const std::string& member() const override { return member_; }
-  Duration elapsed() const { return clock_.Now() - started_; }
+  // To the answer, or its first bytes.
+  Duration elapsed() const { return (began_ == TimePoint{} ? clock_.Now() : began_) - started_; }
   bool ended() const { return ended_; }
 
  private:
@@ -57,7 +67,7 @@
   RequestId id_;
   int attempt_;
   std::string member_;
-  TimePoint started_{};
+  TimePoint started_{}, began_{};
   MemberConnections* connections_ = nullptr;
   MemberConnection* connection_ = nullptr;
   bool ended_ = false;
--- a/src/stage/transaction.cpp
+++ b/src/stage/transaction.cpp
@@ -9,26 +9,42 @@
 }
 
 void Transaction::Serve(evbuffer* value) {
-  if (AnswerSink* client = std::exchange(client_, nullptr)) {
+  if (AnswerSink* client = Answer()) {
     ++OfClass().served;
     client->Served(place_, value);
   }
 }
 
 void Transaction::Reject(Duration come_back) {
-  if (AnswerSink* client = std::exchange(client_, nullptr)) {
+  if (AnswerSink* client = Answer()) {
     ++OfClass().rejected;
     client->Rejected(place_, come_back);
   }
 }
 
 void Transaction::Fail() {
-  if (AnswerSink* client = std::exchange(client_, nullptr)) {
+  if (AnswerSink* client = Answer()) {
     ++OfClass().failed;
     client->Failed(place_);
   }
 }
 
+AnswerSink* Transaction::Answer() { return streams_ >= 0 ? nullptr : std::exchange(client_, nullptr); }
+
+bool Transaction::Begin(int attempt, std::size_t length) {
+  if (client_ == nullptr || streams_ >= 0) return false;
+  streams_ = attempt;
+  client_->Begins(place_, length);
+  return true;
+}
+
+void Transaction::EndValue(bool whole) {
+  AnswerSink* client = std::exchange(client_, nullptr);
+  if (client == nullptr) return;
+  whole ? ++OfClass().served : ++OfClass().failed;
+  client->Ends(place_, whole);
+}
+
 void Transaction::ClientLeft() {
   if (std::exchange(client_, nullptr) != nullptr) ++counters_.transactions_gone;
 }
--- a/src/stage/transaction.h
+++ b/src/stage/transaction.h
@@ -26,6 +26,15 @@
   void Reject(Duration come_back);
   void Fail();
   void ClientLeft();
+  // A large value: from Begin on the transaction is this attempt's, and only EndValue ends it, or the client.
+  // False: it has ended, or is another's.
+  bool Begin(int attempt, std::size_t length);
+  bool Piece(evbuffer* bytes) { return client_->Piece(place_, bytes); }
+  void EndValue(bool whole);
+  // The attempt whose value was being passed on when the client left; -1: none.
+  int left_at() const { return client_ == nullptr ? streams_ : -1; }
+  // The attempt whose value is being passed on; -1: none.
+  int streams() const { return client_ == nullptr ? -1 : streams_; }
 
   bool finished() const { return client_ == nullptr; }
   RequestId id() const { return id_; }
@@ -38,10 +47,13 @@
 
  private:
   Counters::OfClass& OfClass();
+  // Whom to tell the one answer; null if it was told, or a value is being passed on.
+  AnswerSink* Answer();
   RequestId id_;
   std::unique_ptr<Request> request_;
   AnswerSink* client_;  // null once answered
   std::uint64_t place_;
+  int streams_ = -1;
   TimePoint deadline_;
   Counters& counters_;
   std::vector<std::unique_ptr<ServerSideFlow>> flows_;
