--- a/src/base/tuning.h
+++ b/src/base/tuning.h
@@ -31,6 +31,8 @@
     std::int64_t unsent_kb = 256;
     // From this share of the sockets on, clients that have asked nothing have only so long.
     double crowded_share = 1.0 / 3;
+    // With more than this share of the descriptors held by clients that have asked, idle ones go sooner.
+    double held_share = 0.22;
     Milliseconds silent_in_crowd{300};
     Milliseconds about_to_ask{100};  // silent for less: may be about to ask
     bool operator==(const Clients&) const = default;
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -67,6 +67,10 @@
 }
 }
 }
+, {"clients.held_share", Share{[](Tuning & t) -> auto& {return t.clients.held_share;
+}
+}
+}
 , {"clients.silent_in_crowd_ms", Time{10, 600000, [](Tuning& t) -> auto& {return t.clients.silent_in_crowd;
 }
 }
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -156,6 +156,7 @@
   begun_ = TimePoint::max();
   switch (command.kind) {
     case Kind::kRequest: {
+      ++requests_;
       std::uint64_t place = first_ + owed_.size();
       auto id = decision_.Take(std::move(command.request), *this, place);
       if (!id) {  // two requests under one id could be given each other's answers
@@ -343,7 +344,7 @@
 
 ClientSession::Spare ClientSession::spare() const {
   if (turned_away_ != TimePoint::max()) return Spare::kTurnedAway;
-  if (idle()) return asked_ ? Spare::kIdle : Spare::kSilent;
+  if (idle()) return requests_ > 1 ? Spare::kIdle : requests_ == 1 ? Spare::kAskedOnce : Spare::kSilent;
   return half_sent() && owed_.empty() ? Spare::kHalfSent : Spare::kNeeded;
 }
 
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -56,6 +56,8 @@
   // Nothing is owed, though a command may have begun to arrive.
   bool at_rest() const;
   bool asked() const { return asked_; }
+  // Requests that it has sent; PING and the like are none.
+  std::uint64_t requests() const { return requests_; }
   TimePoint connected() const { return connected_; }
   // There may be memory for a large value again.
   void TryAgain();
@@ -70,8 +72,9 @@
   TimePoint due() const;
   // That time has come: a command that is not whole gets its -ERR, all else ends.
   void Overdue();
-  // How readily it is closed to make room, the highest first; kNeeded: not at all.
-  enum class Spare { kNeeded, kHalfSent, kIdle, kSilent, kTurnedAway };
+  // How readily it is closed to make room, the highest first; kNeeded: not at all. Judged by what it has asked:
+  // one that asked only PING is as silent.
+  enum class Spare { kNeeded, kHalfSent, kIdle, kAskedOnce, kSilent, kTurnedAway };
   Spare spare() const;
   TimePoint quiet_since() const { return quiet_since_; }
   bool half_sent() const { return begun_ != TimePoint::max(); }
@@ -124,6 +127,7 @@
   std::uint64_t first_ = 0;                   // place of the first of them
   bool closing_ = false;                      // no more is read; ends when all is written
   bool asked_ = false;                        // a whole command has come
+  std::uint64_t requests_ = 0;
   std::size_t unread_ = 0;                    // as last told to the listener
   TimePoint connected_, quiet_since_;         // the latter: nothing owed since
   TimePoint begun_ = TimePoint::max();        // a command that is not whole yet began to arrive; max: none
--- a/src/front/listener.cpp
+++ b/src/front/listener.cpp
@@ -51,8 +51,7 @@
     auto* listener = static_cast<Listener*>(self);
     listener->log_.Line("accept failed", std::strerror(errno));
     if (listener->MakeRoom()) return;
-    evconnlistener_disable(listener->listener_.get());  // or the loop would do nothing but try again
-    listener->accept_again_.Set(listener->tuning_.accept_pause);
+    listener->Pause();  // or the loop would do nothing but try again
   });
 }
 
@@ -62,6 +61,12 @@
 
 int Listener::port() const { return PortOf(socket()); }
 
+void Listener::Pause() {
+  if (!listener_) return;
+  evconnlistener_disable(listener_.get());
+  accept_again_.Set(tuning_.accept_pause);
+}
+
 void Listener::Accept(bool yes) {
   accepting_ = yes;
   if (!listener_) return;
@@ -74,7 +79,10 @@
   sessions_.push_back(std::make_unique<ClientSession>(*this, base_, socket, decision_, settings_, tuning_,
                                                       clock_, log_, counters_));
   sessions_.back()->self = std::prev(sessions_.end());
-  if (sessions_.size() > Part(sockets_.most, tuning_.share) || sockets_.held >= sockets_.most) MakeRoom();
+  if (sessions_.size() > Part(sockets_.most, tuning_.share) || sockets_.held >= sockets_.most) {
+    if (!MakeRoom()) Pause();  // what comes waits, so that no crowd takes the members' descriptors
+  }
+  if (sessions_.size() > Part(sockets_.limit, tuning_.held_share)) CloseHeld();
   return *sessions_.back();
 }
 
@@ -144,6 +152,24 @@
   return true;
 }
 
+// The front holds a part of the descriptors for clients' requests and no more. Guards against clients who ask once
+// and keep their connection: they would fill that part before the idle time is over, and nobody else could ask.
+void Listener::CloseHeld() {
+  std::size_t held = 0;
+  ClientSession* best = nullptr;
+  for (auto& session : sessions_) {
+    if (session->requests() == 0) continue;
+    ++held;
+    if (!session->idle()) continue;
+    bool better = best == nullptr || session->spare() > best->spare() ||
+                  (session->spare() == best->spare() && session->quiet_since() < best->quiet_since());
+    if (better) best = session.get();
+  }
+  if (held <= Part(sockets_.limit, tuning_.held_share) || best == nullptr) return;
+  ++counters_.clients_closed_for_room;
+  End(*best);
+}
+
 // Ends what has had its time.
 void Listener::Sweep() {
   TimePoint now = clock_.Now();
--- a/src/front/listener.h
+++ b/src/front/listener.h
@@ -46,7 +46,9 @@
  private:
   ClientSession& Accepted(evutil_socket_t socket);
   bool EndIfOver(ClientSession& session, TimePoint now);
+  void Pause();
   bool MakeRoom();
+  void CloseHeld();
   void Sweep();
 
   event_base* base_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -194,6 +194,7 @@
 }
 
 void Router::ShareDescriptors() {
+  sockets_.limit = static_cast<std::size_t>(running_.sockets);
   std::int64_t most = running_.sockets - Others(running_) - predecessor_keeps_;
   if (!door_.empty()) most -= kSuccessorDescriptors;
   bool over = life_.rest() == Doors::Rest::kGoesToSuccessor;  // then it only falls
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -365,6 +365,25 @@
 }
 
 // Guards against strangers who connect by hundreds and say nothing, or half a command.
+// Guards against what turned requests away on the recorded day: the front holds a third of the descriptors for
+// clients, and those that ask once and keep their connection filled it before they counted as idle for long.
+TEST_CASE("clients that ask once and stay leave room for others, and those that come back stay longer") {
+  Stage stage(Stage::Says(Value("x")), {}, "", 128);
+  auto ask = [&](End& client, int number) {
+    std::size_t before = client.got.size();
+    client.Say(Get("00000000000" + std::to_string(10000 + number), "c=read,d=1900"));
+    stage.Until([&] { return client.got.size() > before; });
+  };
+  End& comes_back = stage.Client("");
+  ask(comes_back, 0);
+  ask(comes_back, 1);
+  for (int i = 2; i < 70; ++i) ask(stage.Client(""), i);
+  auto open = std::count_if(stage.clients.begin(), stage.clients.end(), [](const End& end) { return !end.closed; });
+  CHECK(open <= 128 / 4);
+  CHECK(open >= 128 / 6);
+  CHECK(!comes_back.closed);
+}
+
 TEST_CASE("silent clients make room for each other before those that ask do") {
   Stage stage(Stage::Says(Value("x")), {}, "", 64);
   End& usual = stage.Client(kRead);
