Play upgrades in the laboratory: a new router process beside each running one

The event starts the new one with an operators' address of its own, waits for HEALTH and then ends the old one, which must exit with 0.

--- a/src/lab/router_process.cpp
+++ b/src/lab/router_process.cpp
@@ -50,9 +50,12 @@
   std::string config = "BALANCER_CONFIG=" + folder_ + "/config.json";
   std::vector<char*> environment;
   for (char** one = environ; *one != nullptr; ++one) {
-    if (!std::string_view(*one).starts_with("BALANCER_")) environment.push_back(*one);
+    std::string_view variable = *one;
+    if (!variable.starts_with("BALANCER_") && !variable.starts_with("TMPDIR=")) environment.push_back(*one);
   }
   environment.push_back(config.data());
+  std::string folder = "TMPDIR=" + folder_;  // where a process that follows finds the running one
+  environment.push_back(folder.data());
   environment.push_back(nullptr);
   std::string log = folder_ + "/log.txt";
   posix_spawn_file_actions_t files;
@@ -68,6 +71,12 @@
   }
 }
 
+pid_t RouterProcess::Retire() {
+  pid_t old = pid_;
+  Ended();
+  return old;
+}
+
 void RouterProcess::Signal(int number) {
   if (running()) kill(pid_, number);
 }
--- a/src/lab/router_process.h
+++ b/src/lab/router_process.h
@@ -21,6 +21,8 @@
 
   void Write(const std::string& json) const;  // the platform's configuration
   void Start();                               // throws std::runtime_error
+  // Leaves the running process to the caller, who is to reap it; the next Start is beside it.
+  pid_t Retire();
   void Signal(int number);
   bool running() const { return pid_ > 0; }
   pid_t pid() const { return pid_; }
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -283,7 +283,8 @@
                                                   {"add", What::kAdd}};
     const std::pair<const char*, RouterEvent::What> routers[] = {{"router-term", RouterEvent::What::kTerm},
                                                                  {"router-kill", RouterEvent::What::kKill},
-                                                                 {"router-hup", RouterEvent::What::kHup}};
+                                                                 {"router-hup", RouterEvent::What::kHup},
+                                                                 {"router-upgrade", RouterEvent::What::kUpgrade}};
     std::vector<std::string> words{"strangers"};
     for (const auto& [word, what] : fleet) words.emplace_back(word);
     for (const auto& [word, what] : routers) words.emplace_back(word);
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -28,10 +28,10 @@
 };
 
 struct RouterEvent {
-  enum class What { kTerm, kKill, kHup };
+  enum class What { kTerm, kKill, kHup, kUpgrade };
   What what{};
   Time at{};
-  Span back{};   // started again after this
+  Span back{};   // started again after this; kUpgrade: from the new one's yes to the old one's SIGTERM
   Span every{};  // between one router and the next
   std::vector<int> routers;
 };
--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -79,13 +79,17 @@
     }
   }
   ~SocketDay() override {
+    for (const Retiring& one : retiring_) {
+      kill(one.pid, SIGKILL);
+      waitpid(one.pid, nullptr, 0);
+    }
     discovery_->EndWatches();
     members_.clear();
   }
 
   DayResult Run() {
     for (std::size_t r = 0; r < routers_.size(); ++r) {
-      Configure(static_cast<int>(r));
+      Configure(static_cast<int>(r), true);
       routers_[r]->Start();
       Await(r);
     }
@@ -169,6 +173,14 @@
   struct Awaited {
     net::BuffereventPtr socket;
     bool day = false;  // started again in the day
+    pid_t before = -1;  // started beside this process, which ends when it has said yes
+    Span keeps{};       // and so much time has gone
+  };
+  // A process whose successor has started.
+  struct Retiring {
+    int router;
+    pid_t pid;
+    bool told = false;
   };
   struct Life {
     bool expected = false;  // its end is the day's doing
@@ -190,15 +202,19 @@
     fleet_.on_discovery_move = [this] {
       discovery_->Move(kOldDiscovery);
       for (std::size_t r = 0; r < routers_.size(); ++r) {
-        Configure(static_cast<int>(r));
+        Configure(static_cast<int>(r), false);
         routers_[r]->Signal(SIGHUP);
       }
     };
   }
 
-  void Configure(int r) {
+  // `starts`: for a process that starts, which gets an operators' address of its own.
+  void Configure(int r, bool starts) {
     auto& router = *routers_[static_cast<std::size_t>(r)];
+    std::string host = router.address().substr(0, router.address().rfind(':'));
+    if (starts) admins_[r] = fmt::format("{}:{}", host, FreePort(host));
     nlohmann::json config{
+        {"admin", admins_[r]},
         {"name", fmt::format("n{}", r)},
         {"listen", router.address()},
         {"discovery", discovery_->AddressFor(r)},
@@ -215,8 +231,9 @@
       pulse_.agenda.At(event.at + static_cast<int>(i) * event.every, [this, r, event] {
         if (!routers_[r]->running()) return;
         Sample();
+        if (event.what == RouterEvent::What::kUpgrade) return Upgrade(r, event.back);
         if (event.what == RouterEvent::What::kHup) {
-          Configure(static_cast<int>(r));
+          Configure(static_cast<int>(r), false);
           return routers_[r]->Signal(SIGHUP);
         }
         bool planned = event.what == RouterEvent::What::kTerm;
@@ -229,8 +246,40 @@
     }
   }
 
+  // A new process beside the running one, as operators do it: the old one is told to end once HEALTH of the new
+  // one's address says yes.
+  void Upgrade(std::size_t r, Span keeps) {
+    Configure(static_cast<int>(r), true);
+    pid_t before = routers_[r]->Retire();
+    retiring_.push_back({static_cast<int>(r), before});
+    routers_[r]->Start();
+    Await(r);
+    Awaited& awaited = waiting_[static_cast<int>(r)];
+    awaited.before = before;
+    awaited.keeps = keeps;
+  }
+
+  void EndRetiring(pid_t pid) {
+    for (Retiring& one : retiring_) {
+      if (one.pid != pid) continue;
+      one.told = true;
+      kill(pid, SIGTERM);
+    }
+  }
+
+  void ReapRetiring() {
+    std::erase_if(retiring_, [this](const Retiring& one) {
+      int status = 0;
+      if (waitpid(one.pid, &status, WNOHANG) != one.pid) return false;
+      if (!one.told || !WIFEXITED(status) || WEXITSTATUS(status) != 0)
+        referee_.RouterCrashed(one.router, pulse_.agenda.now(), "while it handed over");
+      return true;
+    });
+  }
+
   void Reap() {
     Pulse::Beat beat(pulse_);
+    ReapRetiring();
     for (std::size_t r = 0; r < routers_.size(); ++r) {
       int status = 0;
       if (!routers_[r]->running() || waitpid(routers_[r]->pid(), &status, WNOHANG) != routers_[r]->pid())
@@ -248,7 +297,7 @@
         continue;  // it stays down: the rule is broken
       }
       pulse_.agenda.In(life.back, [this, r] {
-        Configure(static_cast<int>(r));
+        Configure(static_cast<int>(r), true);
         routers_[r]->Start();
         Await(r);
         waiting_[static_cast<int>(r)].day = true;
@@ -268,6 +317,11 @@
       auto& [r, awaited] = *at;
       if (awaited.socket) {
         evbuffer* in = bufferevent_get_input(awaited.socket.get());
+        if (awaited.before >= 0 && net::Contents(in).starts_with("ok")) {
+          pulse_.agenda.In(awaited.keeps, [this, pid = awaited.before] { EndRetiring(pid); });
+          at = waiting_.erase(at);
+          continue;
+        }
         if (net::Contents(in).starts_with("+PONG")) {
           if (awaited.day) {
             referee_.RouterBack(r);
@@ -277,10 +331,12 @@
           continue;
         }
       }
-      awaited.socket = Dial(loop_.get(), routers_[static_cast<std::size_t>(r)]->address());
+      bool beside = awaited.before >= 0;
+      awaited.socket = Dial(loop_.get(), beside ? admins_[r] : routers_[static_cast<std::size_t>(r)]->address());
       if (awaited.socket) {
         bufferevent_enable(awaited.socket.get(), EV_READ | EV_WRITE);
-        bufferevent_write(awaited.socket.get(), "*1\r\n$4\r\nPING\r\n", 14);
+        std::string_view call = beside ? "HEALTH\n" : "*1\r\n$4\r\nPING\r\n";
+        bufferevent_write(awaited.socket.get(), call.data(), call.size());
       }
       ++at;
     }
@@ -307,6 +363,8 @@
   std::vector<std::uint64_t> tries_;
   std::vector<Life> lives_;
   std::map<int, Awaited> waiting_;
+  std::map<int, std::string> admins_;  // the operators' address that each router was last given
+  std::vector<Retiring> retiring_;
   std::string problem_;
   std::vector<std::unique_ptr<standin::MemberStandin>> members_;
   std::unique_ptr<standin::OriginStandin> origin_;
