Share out the memory for large values during an upgrade; take no extra buffer an answer

Need: both processes of an upgrade are one router, in memory too. The old one's part falls with what it holds and is told with its descriptors.

--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -274,14 +274,20 @@
 
 // Writes the answers that are there, up to the first that is not whole, as one piece.
 void ClientSession::Flush() {
-  BufferPtr out = NewBuffer();
+  BufferPtr out;
   while (!owed_.empty() && owed_.front().answer) {
-    evbuffer_add_buffer(out.get(), owed_.front().answer.get());
-    if (owed_.front().value != Owed::Value::kWhole) break;
+    bool whole = owed_.front().value == Owed::Value::kWhole;
+    if (!out && whole) {
+      out = std::move(owed_.front().answer);
+    } else {
+      if (!out) out = NewBuffer();
+      evbuffer_add_buffer(out.get(), owed_.front().answer.get());
+    }
+    if (!whole) break;
     owed_.pop_front();
     ++first_;
   }
-  if (evbuffer_get_length(out.get()) == 0) return;
+  if (!out || evbuffer_get_length(out.get()) == 0) return;
   quiet_since_ = clock_.Now();
   // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
   bool waits = !owed_.empty() && owed_.front().value == Owed::Value::kWaits;
--- a/src/handover/predecessor.cpp
+++ b/src/handover/predecessor.cpp
@@ -66,6 +66,7 @@
           got.listener = std::move(packet.file);
           got.index = packet.head.at("index").get<std::int64_t>();
           got.keeps = packet.head.at("keeps").get<std::int64_t>();
+          got.memory = packet.head.value("memory", std::int64_t{0});
           got.away = packet.head.value("away", false);
           return got;
         } else if (type == "busy") {
@@ -89,7 +90,7 @@
     : calls_(std::move(calls)),
       channel_(
           base, std::move(channel), [this](Packet packet) { Take(std::move(packet)); },
-          [this] { calls_.keeps(0); }) {}
+          [this] { calls_.keeps(0, 0); }) {}
 
 void Predecessor::Ready() { channel_.Send({{{"type", "ready"}}, "", {}}); }
 
@@ -104,7 +105,9 @@
       channel_.Send({{{"type", "taken"}}, "", {}});
       calls_.client(std::move(client));
     }
-    if (type == "client" || type == "keeps") calls_.keeps(packet.head.at("keeps").get<std::int64_t>());
+    if (type == "client" || type == "keeps") {
+      calls_.keeps(packet.head.at("keeps").get<std::int64_t>(), packet.head.value("memory", std::int64_t{0}));
+    }
   } catch (const nlohmann::json::exception&) {
     // Not of this version's form: the descriptors that it would have freed come with its end.
   }
--- a/src/handover/predecessor.h
+++ b/src/handover/predecessor.h
@@ -22,6 +22,7 @@
   std::int64_t index = 0;                                  // of the pool list
   nlohmann::json endpoints = nlohmann::json::array();      // the pool, in discovery's form
   std::int64_t keeps = 0;                                  // descriptors that it may still hold
+  std::int64_t memory = 0;                                 // bytes of large values that it may still hold
   bool away = false;                                       // it was told to send clients away
 };
 
@@ -42,7 +43,8 @@
  public:
   struct Calls {
     std::function<void(ClientHandle)> client;
-    std::function<void(std::int64_t)> keeps;  // from now on it holds no more than that; 0: it has gone
+    // From now on it holds no more than that: descriptors, bytes of large values. 0: it has gone.
+    std::function<void(std::int64_t keeps, std::int64_t memory)> keeps;
   };
   Predecessor(event_base* base, FileHandle channel, Calls calls);
   // Clients are taken from now on: it hands on what it has.
--- a/src/handover/successor.cpp
+++ b/src/handover/successor.cpp
@@ -92,7 +92,8 @@
   channel_->Send({{{"type", "offer"},
                    {"version", kVersion},
                    {"index", offer.index},
-                   {"keeps", offer.keeps},
+                   {"keeps", offer.keeps.descriptors},
+                   {"memory", offer.keeps.memory},
                    {"away", offer.away}},
                   "",
                   FileHandle(dup(offer.listener))});
@@ -112,18 +113,20 @@
 
 bool Successor::takes() const { return channel_ && ready_ && on_the_way_ < kOnTheWay; }
 
-void Successor::Send(ClientHandle client, std::int64_t keeps) {
+void Successor::Send(ClientHandle client, const Keeps& keeps) {
   ++on_the_way_;
   channel_->Send({{{"type", "client"},
-                   {"keeps", keeps},
+                   {"keeps", keeps.descriptors},
+                   {"memory", keeps.memory},
                    {"asked", client.asked},
                    {"begun_ago", client.begun_ago.count()}},
                   std::move(client.begun),
                   std::move(client.socket)});
 }
 
-void Successor::TellKeeps(std::int64_t keeps) {
-  if (channel_ && ready_) channel_->Send({{{"type", "keeps"}, {"keeps", keeps}}, "", {}});
+void Successor::TellKeeps(const Keeps& keeps) {
+  if (!channel_ || !ready_) return;
+  channel_->Send({{{"type", "keeps"}, {"keeps", keeps.descriptors}, {"memory", keeps.memory}}, "", {}});
 }
 
 }  // namespace peatbend::net::handover
--- a/src/handover/successor.h
+++ b/src/handover/successor.h
@@ -14,9 +14,14 @@
 
 class Successor {
  public:
+  // What this process may still hold: descriptors, bytes of large values.
+  struct Keeps {
+    std::int64_t descriptors = 0, memory = 0;
+  };
   struct Offer {
     int listener = -1;  // stays the caller's; -1: there is none any more
-    std::int64_t index = 0, keeps = 0;
+    std::int64_t index = 0;
+    Keeps keeps;
     std::vector<nlohmann::json> endpoints;
     bool away = false;
   };
@@ -34,9 +39,9 @@
 
   // Whether a further client can be handed on now.
   bool takes() const;
-  // `keeps`: descriptors that this process may hold from now on.
-  void Send(ClientHandle client, std::int64_t keeps);
-  void TellKeeps(std::int64_t keeps);
+  // `keeps`: from now on.
+  void Send(ClientHandle client, const Keeps& keeps);
+  void TellKeeps(const Keeps& keeps);
   // All that was handed on has left this process.
   bool idle() const { return !channel_ || channel_->waiting() == 0; }
 
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -28,7 +28,6 @@
   }
   int yes = 1;
   setsockopt(bufferevent_getfd(socket_.get()), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
-  bufferevent_setwatermark(socket_.get(), EV_READ, 0, kMostUnread);
   bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
   timer_.Set(timeout);
   return true;
@@ -87,6 +86,7 @@
   if (!codec_->Streams() && !began_) return true;
   if (!began_) {
     began_ = true;
+    bufferevent_setwatermark(socket_.get(), EV_READ, 0, kMostUnread);
     if (!attempt_->Began(*codec_->Streams())) return false;
   }
   BufferPtr piece = NewBuffer();
@@ -114,6 +114,7 @@
     ++home_.counters_.member_malformed;
     home_.log_.Line("member malformed", member_.name + ": " + std::string(reply.complaint));
   }
+  if (std::exchange(began_, false)) bufferevent_setwatermark(socket_.get(), EV_READ, 0, 0);
   if (std::exchange(paused_, false)) bufferevent_enable(socket_.get(), EV_READ);
   Attempt* attempt = std::exchange(attempt_, nullptr);
   keep ? home_.Idle(*this) : home_.Close(*this);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -55,6 +55,7 @@
     : running_(config),
       log_(config.name, config.tuning.log, clock_),
       predecessor_keeps_(inherited ? inherited->keeps : 0),
+      predecessor_memory_(inherited ? inherited->memory : 0),
       connections_(base, running_.settings, running_.tuning.members, sockets_, clock_, log_, counters_),
       decision_(
           base, running_.settings, config.seed, connections_, [this] { pool_.Watch(); }, clock_, log_,
@@ -84,8 +85,7 @@
       tell_keeps_(base, [this] { TellKeeps(); }),
       end_(base, [this] { End(); }) {
   running_.known = {};  // read once; the list moves on without it
-  ShareDescriptors();
-  memory_.most = static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte * kValuesShare);
+  Share();
   if (!config.admin.empty()) admin_ = std::make_unique<AdminServer>(base, config.admin, *this, clock_, log_);
   decision_.OnReady([this] {
     if (life_.PoolThere()) Moved();
@@ -102,7 +102,7 @@
                                    listener_.Adopt(client.socket.Release(), client.begun, client.begun_ago,
                                                    client.asked);
                                  },
-                             .keeps = [this](std::int64_t keeps) { PredecessorKeeps(keeps); }});
+                             .keeps = [this](std::int64_t keeps, std::int64_t memory) { PredecessorKeeps(keeps, memory); }});
     predecessor_->Ready();
   }
   decision_.PoolNews(Scope::kCached, std::move(entries));
@@ -185,34 +185,41 @@
 // ---- The process before, and the one that follows ---------------------------------------------------
 
 // What this process and those before it may hold at most.
-std::int64_t Router::Keeps() const {
-  return Others(running_) + static_cast<std::int64_t>(sockets_.most) + predecessor_keeps_;
+handover::Successor::Keeps Router::Keeps() const {
+  return {Others(running_) + static_cast<std::int64_t>(sockets_.most) + predecessor_keeps_,
+          static_cast<std::int64_t>(memory_.most) + predecessor_memory_};
 }
 
 std::int64_t Router::descriptors() const {
   return Others(running_) + static_cast<std::int64_t>(std::max(sockets_.most, sockets_.held));
 }
 
-void Router::ShareDescriptors() {
+void Router::Share() {
   sockets_.limit = static_cast<std::size_t>(running_.sockets);
   std::int64_t most = running_.sockets - Others(running_) - predecessor_keeps_;
   if (!door_.empty()) most -= kSuccessorDescriptors;
   bool over = life_.rest() == Doors::Rest::kGoesToSuccessor;  // then it only falls
   if (over) most = std::min(most, static_cast<std::int64_t>(sockets_.held) + kForFlows);
   sockets_.most = static_cast<std::size_t>(std::max<std::int64_t>(most, 0));
+  auto values = static_cast<std::int64_t>(static_cast<double>(running_.memory_mb) * kMegabyte * kValuesShare);
+  values -= predecessor_memory_;
+  if (over) values = std::min(values, static_cast<std::int64_t>(memory_.held));
+  memory_.most = static_cast<std::size_t>(std::max<std::int64_t>(values, 0));
 }
 
 void Router::TellKeeps() {
   if (life_.rest() != Doors::Rest::kGoesToSuccessor) return;
-  std::size_t before = sockets_.most;
+  auto before = std::pair(sockets_.most, memory_.most);
   sockets_.most = std::min(sockets_.most, sockets_.held + static_cast<std::size_t>(kForFlows));
-  if (sockets_.most != before) successor_.TellKeeps(Keeps());
+  memory_.most = std::min(memory_.most, memory_.held);
+  if (std::pair(sockets_.most, memory_.most) != before) successor_.TellKeeps(Keeps());
   tell_keeps_.Set(kTellKeepsEvery);
 }
 
-void Router::PredecessorKeeps(std::int64_t keeps) {
+void Router::PredecessorKeeps(std::int64_t keeps, std::int64_t memory) {
   predecessor_keeps_ = keeps;
-  ShareDescriptors();
+  predecessor_memory_ = memory;
+  Share();
   if (life_.rest() == Doors::Rest::kGoesToSuccessor) successor_.TellKeeps(Keeps());
   if (keeps == 0) log_.Line("handover", "the process before has gone");
 }
@@ -231,7 +238,7 @@
   log_.Line("handover", "a new process takes clients");
   bool moved = life_.SuccessorReady();
   connections_.CloseAllIdle();
-  ShareDescriptors();
+  Share();
   successor_.TellKeeps(Keeps());
   tell_keeps_.Set(kTellKeepsEvery);
   if (moved) {
@@ -244,7 +251,7 @@
 void Router::SuccessorLost() {
   log_.Line("handover", "the new process has ended");
   bool moved = life_.SuccessorLost();
-  ShareDescriptors();
+  Share();
   if (moved) Moved();
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -52,15 +52,16 @@
  private:
   Duration LongestDeadline() const;
   void Moved();
-  // The descriptors that this process may hold, with its predecessor's part taken off.
-  void ShareDescriptors();
-  std::int64_t Keeps() const;
+  // The descriptors and the memory for large values that this process may hold, with its predecessor's part taken
+  // off. While it hands over they only fall.
+  void Share();
+  handover::Successor::Keeps Keeps() const;
   void TellKeeps();
   handover::Successor::Offer MakeOffer();
   bool HandOn(ClientSession& session);
   void SuccessorReady();
   void SuccessorLost();
-  void PredecessorKeeps(std::int64_t keeps);
+  void PredecessorKeeps(std::int64_t keeps, std::int64_t memory);
   void End();
 
   Config running_;
@@ -69,7 +70,7 @@
   Log log_;
   LifeCycle life_;
   std::string_view told_;  // its name as last logged
-  std::int64_t predecessor_keeps_ = 0;
+  std::int64_t predecessor_keeps_ = 0, predecessor_memory_ = 0;
   SocketBudget sockets_;
   MemoryBudget memory_;
   MemberConnections connections_;
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -135,6 +135,8 @@
   Router next(stage.base.get(), stage.Configured("", 128), std::move(inherited));
   stage.Until([&] { return stage.router.life().state() == LifeCycle::State::kHandingOver; });
   CHECK(stage.router.descriptors() + next.descriptors() <= 128);
+  CHECK(stage.router.memory().most == 0);  // it holds no large value
+  stage.Until([&] { return next.memory().most > 0; });
   for (End& end : stage.member.ends) end.Say(Value("v"));
   stage.Until([&] { return next.counters().clients_accepted >= 5; });
   CHECK(stage.router.descriptors() + next.descriptors() <= 128);
@@ -268,6 +270,48 @@
   CHECK(Figure(last, "concurrent") == 0);
 }
 
+TEST_CASE("life cycle: whatever is crossed, one state, and a stop is the end") {
+  using State = LifeCycle::State;
+  LifeCycle life;
+  CHECK(life.Leave());  // before there is a pool
+  CHECK(!life.takes_clients());
+  CHECK(life.Join());
+  CHECK(life.state() == State::kStarting);
+  CHECK(life.PoolThere());
+  CHECK(life.welcome());
+  CHECK(!life.Join());
+  CHECK(life.Leave());
+  CHECK(!life.Leave());
+  CHECK(!life.welcome());
+  CHECK(life.LateClientsOver());
+  CHECK(life.rest() == Doors::Rest::kCloses);
+  CHECK(life.SuccessorReady());  // the new one was told that this one is away
+  CHECK(!life.welcome());
+  CHECK(!life.Join());
+  CHECK(life.SuccessorLost());
+  CHECK(life.away());
+  CHECK(life.Join());
+  CHECK(life.state() == State::kServing);
+  CHECK(life.SuccessorReady());
+  CHECK(life.welcome());  // the two are one router
+  CHECK(!life.takes_clients());
+  CHECK(life.Stop());
+  CHECK(life.state() == State::kFinishing);
+  CHECK(life.rest() == Doors::Rest::kGoesToSuccessor);
+  CHECK(!life.SuccessorLost());
+  CHECK(life.rest() == Doors::Rest::kCloses);
+  CHECK(!life.Stop());
+  CHECK(!life.Join());
+  CHECK(!life.Leave());
+
+  LifeCycle alone;
+  alone.PoolThere();
+  CHECK(alone.Stop());
+  CHECK(alone.rest() == Doors::Rest::kStays);  // late clients are served
+  CHECK(!alone.SuccessorReady());              // in time for what is left
+  CHECK(alone.rest() == Doors::Rest::kGoesToSuccessor);
+}
+
 TEST_CASE("drain: PING says no at once, what comes is served, each connection closes; JOIN undoes it") {
   Folder folder;
   Stage stage({}, {}, "", 1024, 192, folder.Door());
