--- a/tests/net/program.sh
+++ b/tests/net/program.sh
@@ -29,6 +29,15 @@
 if "$program" 2>"$folder/log"; then fail "a faulty configuration was taken"; fi
 grep -q 'limits.sockets' "$folder/log" || fail "the faulty key is not named"
 
+# The operators' address: a faulty one and a taken one are named.
+echo '{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","admin":"nowhere",'"$settings}" >"$BALANCER_CONFIG"
+if "$program" 2>"$folder/log"; then fail "a faulty operators' address was taken"; fi
+grep -q 'admin: address: ADDRESS:PORT expected' "$folder/log" || fail "the operators' address is not named"
+echo '{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","admin":"192.0.2.1:9",'"$settings}" >"$BALANCER_CONFIG"
+if "$program" 2>"$folder/log"; then fail "an operators' address of another machine was taken"; fi
+grep -q 'admin: cannot listen on 192.0.2.1:9' "$folder/log" || fail "the address that cannot be had is not named"
+echo '{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","limits":{"sockets":"many"},'"$settings}" >"$BALANCER_CONFIG"
+
 # The command line: what is wrong, in one call; what is sound; the version; a wrong word.
 printf '[clients]\nidel_ms = 5\n[log]\nformat = "xml"\n' >"$folder/own.toml"
 if "$program" check --config "$folder/own.toml" 2>"$folder/log"; then fail "check took faulty files"; fi
