--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -12,9 +12,9 @@
 namespace peatbend::net {
 namespace {
 
-constexpr std::size_t kMostLine = 256;                   // bytes
-constexpr std::chrono::milliseconds kLineWithin{4500};   // for a whole line; then it is told and closed
-constexpr std::chrono::milliseconds kLinger{500};        // from the answer to the close, for what still comes
+constexpr std::size_t kMostLine = 256;                  // bytes
+constexpr std::chrono::milliseconds kLineWithin{4500};  // for a whole line; then it is told and closed
+constexpr std::chrono::milliseconds kLinger{500};       // from the answer to the close, for what still comes
 constexpr std::chrono::milliseconds kSweepEvery{100};
 
 }  // namespace
@@ -35,7 +35,8 @@
       log_(log),
       sweep_(base, [this] { Sweep(); }),
       socket_(ListenOn(address, static_cast<int>(kAdminSessions) * 8, false)) {
-  if (socket_ < 0) throw std::runtime_error("admin: cannot listen on " + address + ": " + std::strerror(errno));
+  if (socket_ < 0)
+    throw std::runtime_error("admin: cannot listen on " + address + ": " + std::strerror(errno));
   acceptable_.reset(event_new(
       base, socket_, EV_READ | EV_PERSIST,
       [](evutil_socket_t, short, void* self) { static_cast<AdminServer*>(self)->Accept(); }, this));
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -1,6 +1,6 @@
 // The operators' address: one line a connection, one answer, and the end. It reads figures and calls the life
-// cycle through Operations, and decides nothing. Its sessions are bounded in number, in bytes and in time, and
-// its descriptors lie outside the budget of clients and members, so that no crowd on either side keeps an
+// cycle through Operations, and decides nothing. Its sessions are bounded in number, in bytes and in time,
+// and its descriptors lie outside the budget of clients and members, so that no crowd on either side keeps an
 // answer waiting.
 #pragma once
 
--- a/src/base/listen.h
+++ b/src/base/listen.h
@@ -5,8 +5,8 @@
 
 namespace peatbend::net {
 
-// A non-blocking listening socket on ADDRESS:PORT, the caller's to close; -1 and errno where it cannot be had.
-// `shared`: another process may listen there too (SO_REUSEPORT on both).
+// A non-blocking listening socket on ADDRESS:PORT, the caller's to close; -1 and errno where it cannot be
+// had. `shared`: another process may listen there too (SO_REUSEPORT on both).
 int ListenOn(const std::string& address, int backlog, bool shared);
 // Whether another socket is bound there now.
 bool Taken(const std::string& address);
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -9,8 +9,10 @@
 namespace peatbend::net {
 namespace {
 constexpr std::size_t kMostMoved = 32 * 1024;  // bytes of a begun command that move to another process
-constexpr std::size_t kLeastUnsent = 32 * 1024, kMostUnsent = 256 * 1024;  // of a large answer, then the member waits
-// Of a large value from a client: bytes a millisecond that it must bring at least; waiting for memory, at most.
+constexpr std::size_t kLeastUnsent = 32 * 1024,
+                      kMostUnsent = 256 * 1024;  // of a large answer, then the member waits
+// Of a large value from a client: bytes a millisecond that it must bring at least; waiting for memory, at
+// most.
 constexpr std::size_t kLeastBytesAMs = 64;
 constexpr Milliseconds kRoomWithin{5000};
 constexpr Milliseconds kLastLinger{300};  // after a last call, for a client to see the end
@@ -41,7 +43,8 @@
 ClientSession::~ClientSession() {
   home_.Unread(unread_, 0);
   for (const Owed& owed : owed_) {
-    if (owed.transaction && (!owed.answer || owed.value != Owed::Value::kWhole)) decision_.ClientLeft(owed.id);
+    if (owed.transaction && (!owed.answer || owed.value != Owed::Value::kWhole))
+      decision_.ClientLeft(owed.id);
   }
 }
 
@@ -92,8 +95,8 @@
   return command;
 }
 
-// A large value comes next. What stands before it is read now, so that a command that cannot be used is told before
-// its value has come. True if the rest may be read on.
+// A large value comes next. What stands before it is read now, so that a command that cannot be used is told
+// before its value has come. True if the rest may be read on.
 bool ClientSession::BeginBody(std::string_view buffer) {
   resp::Message message = parser_.message();
   message.items.push_back({});
@@ -249,7 +252,8 @@
   return false;
 }
 
-// A value that is not whole ends the connection; where none of it was written yet, an error can still be told.
+// A value that is not whole ends the connection; where none of it was written yet, an error can still be
+// told.
 void ClientSession::Ends(std::uint64_t place, bool whole) {
   Owed& owed = At(place);
   owed.value = Owed::Value::kWhole;
@@ -291,7 +295,8 @@
   quiet_since_ = clock_.Now();
   // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
   bool waits = !owed_.empty() && owed_.front().value == Owed::Value::kWaits;
-  bool told = closing_ || waits || home_.doors().rest() != Doors::Rest::kStays || (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0;
+  bool told = closing_ || waits || home_.doors().rest() != Doors::Rest::kStays ||
+              (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0;
   if (told) {
     bufferevent_write_buffer(socket_.get(), out.get());
   } else {
@@ -311,7 +316,8 @@
     return;
   }
   if (home_.doors().rest() != Doors::Rest::kStays && at_rest()) return home_.AtRest(*this);
-  if (!closing_ && !waits_for_room_ && (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0 && !Crowded()) {
+  if (!closing_ && !waits_for_room_ && (bufferevent_get_enabled(socket_.get()) & EV_READ) == 0 &&
+      !Crowded()) {
     bufferevent_enable(socket_.get(), EV_READ);
     Read();
   }
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -72,8 +72,8 @@
   TimePoint due() const;
   // That time has come: a command that is not whole gets its -ERR, all else ends.
   void Overdue();
-  // How readily it is closed to make room, the highest first; kNeeded: not at all. Judged by what it has asked:
-  // one that asked only PING is as silent.
+  // How readily it is closed to make room, the highest first; kNeeded: not at all. Judged by what it has
+  // asked: one that asked only PING is as silent.
   enum class Spare { kNeeded, kHalfSent, kIdle, kAskedOnce, kSilent, kTurnedAway };
   Spare spare() const;
   TimePoint quiet_since() const { return quiet_since_; }
@@ -86,7 +86,7 @@
 
  private:
   struct Owed {
-    BufferPtr answer;  // null: not there yet
+    BufferPtr answer;                                                   // null: not there yet
     enum class Value { kWhole, kComes, kWaits } value = Value::kWhole;  // the latter: the member is not read
     RequestId id{};
     bool transaction = false;
@@ -123,10 +123,10 @@
   };
   std::optional<Body> body_;     // a large value is coming
   bool waits_for_room_ = false;  // for memory for one; not read meanwhile
-  std::deque<Owed> owed_;                     // answers owed, in the commands' order
-  std::uint64_t first_ = 0;                   // place of the first of them
-  bool closing_ = false;                      // no more is read; ends when all is written
-  bool asked_ = false;                        // a whole command has come
+  std::deque<Owed> owed_;        // answers owed, in the commands' order
+  std::uint64_t first_ = 0;      // place of the first of them
+  bool closing_ = false;         // no more is read; ends when all is written
+  bool asked_ = false;           // a whole command has come
   std::uint64_t requests_ = 0;
   std::size_t unread_ = 0;                    // as last told to the listener
   TimePoint connected_, quiet_since_;         // the latter: nothing owed since
--- a/src/front/listener.cpp
+++ b/src/front/listener.cpp
@@ -18,9 +18,10 @@
 constexpr std::chrono::milliseconds kSilentAway{600}, kLastCall{1500}, kHalfAway{2400};
 }  // namespace
 
-Listener::Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision, const Settings& settings,
-                   const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread,
-                   MemoryBudget& memory, const Clock& clock, Log& log, Counters& counters)
+Listener::Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision,
+                   const Settings& settings, const Tuning::Clients& tuning, SocketBudget& sockets,
+                   std::size_t most_unread, MemoryBudget& memory, const Clock& clock, Log& log,
+                   Counters& counters)
     : base_(base),
       doors_(doors),
       hand_on_(std::move(hand_on)),
@@ -112,8 +113,8 @@
   }
 }
 
-// While connections are to close: what has never asked, what goes on asking without a pause and what takes its
-// time over a command each get a little longer, and no more.
+// While connections are to close: what has never asked, what goes on asking without a pause and what takes
+// its time over a command each get a little longer, and no more.
 bool Listener::EndIfOver(ClientSession& session, TimePoint now) {
   TimePoint from = std::max(closing_since_, session.connected());
   if (session.idle() && (session.asked() || now - from > kSilentAway)) {
@@ -152,8 +153,9 @@
   return true;
 }
 
-// The front holds a part of the descriptors for clients' requests and no more. Guards against clients who ask once
-// and keep their connection: they would fill that part before the idle time is over, and nobody else could ask.
+// The front holds a part of the descriptors for clients' requests and no more. Guards against clients who ask
+// once and keep their connection: they would fill that part before the idle time is over, and nobody else
+// could ask.
 void Listener::CloseHeld() {
   std::size_t held = 0, begin = 0, most = Part(sockets_.limit, tuning_.held_share);
   ClientSession* best = nullptr;
--- a/src/front/listener.h
+++ b/src/front/listener.h
@@ -20,9 +20,9 @@
   // `socket` listens already and becomes the listener's. `hand_on` takes a session that is at rest to the
   // process that follows, and says whether it did; the listener then ends it.
   using HandOn = std::function<bool(ClientSession&)>;
-  Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision, const Settings& settings,
-           const Tuning::Clients& tuning, SocketBudget& sockets, std::size_t most_unread, MemoryBudget& memory, const Clock& clock,
-           Log& log, Counters& counters);
+  Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, Decision& decision,
+           const Settings& settings, const Tuning::Clients& tuning, SocketBudget& sockets,
+           std::size_t most_unread, MemoryBudget& memory, const Clock& clock, Log& log, Counters& counters);
   ~Listener() override;
 
   void End(ClientSession& session) override;
--- a/src/handover/channel.cpp
+++ b/src/handover/channel.cpp
@@ -30,20 +30,22 @@
   return true;
 }
 
-FileHandle NewSocket() { return FileHandle(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)); }
+FileHandle NewSocket() {
+  return FileHandle(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+}
 
 }  // namespace
 
-// Made under a name of this process's own and then given the path, so that nobody finds it half made and a file
-// left behind by a dead process is no hindrance.
+// Made under a name of this process's own and then given the path, so that nobody finds it half made and a
+// file left behind by a dead process is no hindrance.
 FileHandle ListenAt(const std::string& path) {
   std::string own = path + "." + std::to_string(getpid());
   sockaddr_un to;
   FileHandle folder, made = NewSocket();
   unlink(own.c_str());
   bool fine = made && AddressOf(own, to, folder) &&
-              bind(made.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0 && listen(made.get(), 4) == 0 &&
-              rename(own.c_str(), path.c_str()) == 0;
+              bind(made.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0 &&
+              listen(made.get(), 4) == 0 && rename(own.c_str(), path.c_str()) == 0;
   if (fine) return made;
   int why = errno;
   unlink(own.c_str());
--- a/src/handover/channel.h
+++ b/src/handover/channel.h
@@ -1,5 +1,5 @@
-// Packets between the running process and the one that follows it, over a Unix socket: a line of JSON, then raw
-// bytes, and at most one descriptor. Packets keep their borders and order (SOCK_SEQPACKET).
+// Packets between the running process and the one that follows it, over a Unix socket: a line of JSON, then
+// raw bytes, and at most one descriptor. Packets keep their borders and order (SOCK_SEQPACKET).
 #pragma once
 
 #include <unistd.h>
@@ -16,8 +16,8 @@
 
 namespace peatbend::net::handover {
 
-constexpr int kVersion = 1;                     // of the messages; told in the first of each side
-constexpr std::size_t kMaxPacket = 96 * 1024;   // bytes, raw ones included
+constexpr int kVersion = 1;                    // of the messages; told in the first of each side
+constexpr std::size_t kMaxPacket = 96 * 1024;  // bytes, raw ones included
 
 // A descriptor, closed when it goes.
 class FileHandle {
--- a/src/handover/predecessor.cpp
+++ b/src/handover/predecessor.cpp
@@ -39,7 +39,8 @@
       if (errno != ENOENT && errno != ECONNREFUSED) say(std::string("cannot ask: ") + std::strerror(errno));
       return std::nullopt;
     }
-    if (!SendPacket(got.channel.get(), {{{"type", "hello"}, {"version", kVersion}, {"pid", getpid()}}, "", {}})) {
+    if (!SendPacket(got.channel.get(),
+                    {{{"type", "hello"}, {"version", kVersion}, {"pid", getpid()}}, "", {}})) {
       continue;
     }
     bool busy = false;
--- a/src/handover/predecessor.h
+++ b/src/handover/predecessor.h
@@ -18,12 +18,12 @@
 
 struct Inheritance {
   FileHandle channel;
-  FileHandle listener;                                     // the clients' listening socket, shared with it
-  std::int64_t index = 0;                                  // of the pool list
-  nlohmann::json endpoints = nlohmann::json::array();      // the pool, in discovery's form
-  std::int64_t keeps = 0;                                  // descriptors that it may still hold
-  std::int64_t memory = 0;                                 // bytes of large values that it may still hold
-  bool away = false;                                       // it was told to send clients away
+  FileHandle listener;                                 // the clients' listening socket, shared with it
+  std::int64_t index = 0;                              // of the pool list
+  nlohmann::json endpoints = nlohmann::json::array();  // the pool, in discovery's form
+  std::int64_t keeps = 0;                              // descriptors that it may still hold
+  std::int64_t memory = 0;                             // bytes of large values that it may still hold
+  bool away = false;                                   // it was told to send clients away
 };
 
 // Asks at `path`, and waits no longer than `patience` in all. Nothing where nobody serves there or the answer
@@ -34,9 +34,9 @@
 // A client's connection on its way from one process to the other.
 struct ClientHandle {
   FileHandle socket;
-  std::string begun;                         // bytes of a command that is not whole
-  std::chrono::milliseconds begun_ago{0};    // when the first of them came
-  bool asked = false;                        // it has sent a whole command before
+  std::string begun;                       // bytes of a command that is not whole
+  std::chrono::milliseconds begun_ago{0};  // when the first of them came
+  bool asked = false;                      // it has sent a whole command before
 };
 
 class Predecessor {
--- a/src/handover/successor.cpp
+++ b/src/handover/successor.cpp
@@ -9,7 +9,7 @@
 namespace peatbend::net::handover {
 namespace {
 
-constexpr std::int64_t kOnTheWay = 24;       // clients sent and not yet taken
+constexpr std::int64_t kOnTheWay = 24;        // clients sent and not yet taken
 constexpr std::size_t kEntriesAPacket = 100;  // of the pool
 // For a successor to say hello, and from the offer on to say that it is ready.
 constexpr std::chrono::milliseconds kHelloWithin{1000}, kReadyWithin{15000};
@@ -65,7 +65,10 @@
     auto version = packet.head.find("version");
     if (version == packet.head.end() || *version != kVersion) {
       log_.Line("handover", "turned away: a process that speaks another version");
-      channel_->Send({{{"type", "refused"}, {"why", "version " + std::to_string(kVersion) + " is spoken here"}}, "", {}});
+      channel_->Send(
+          {{{"type", "refused"}, {"why", "version " + std::to_string(kVersion) + " is spoken here"}},
+           "",
+           {}});
       return;  // it goes, which ends the channel
     }
     MakeOffer();
--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -172,7 +172,7 @@
   // A router that was started and has not answered PING yet.
   struct Awaited {
     net::BuffereventPtr socket;
-    bool day = false;  // started again in the day
+    bool day = false;   // started again in the day
     pid_t before = -1;  // started beside this process, which ends when it has said yes
     Span keeps{};       // and so much time has gone
   };
@@ -246,8 +246,8 @@
     }
   }
 
-  // A new process beside the running one, as operators do it: the old one is told to end once HEALTH of the new
-  // one's address says yes.
+  // A new process beside the running one, as operators do it: the old one is told to end once HEALTH of the
+  // new one's address says yes.
   void Upgrade(std::size_t r, Span keeps) {
     Configure(static_cast<int>(r), true);
     pid_t before = routers_[r]->Retire();
@@ -332,7 +332,8 @@
         }
       }
       bool beside = awaited.before >= 0;
-      awaited.socket = Dial(loop_.get(), beside ? admins_[r] : routers_[static_cast<std::size_t>(r)]->address());
+      awaited.socket =
+          Dial(loop_.get(), beside ? admins_[r] : routers_[static_cast<std::size_t>(r)]->address());
       if (awaited.socket) {
         bufferevent_enable(awaited.socket.get(), EV_READ | EV_WRITE);
         std::string_view call = beside ? "HEALTH\n" : "*1\r\n$4\r\nPING\r\n";
--- a/src/member/member_codec.cpp
+++ b/src/member/member_codec.cpp
@@ -109,8 +109,8 @@
     return reply;
   }
   resp::Parser parser_{0};
-  BufferPtr value_ = NewBuffer();         // of a large value: what has come and was not passed on
-  std::size_t length_ = 0, left_ = 0;     // of a large value: its length, and what has not come
+  BufferPtr value_ = NewBuffer();      // of a large value: what has come and was not passed on
+  std::size_t length_ = 0, left_ = 0;  // of a large value: its length, and what has not come
   bool reusable_ = true;
 };
 
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -66,7 +66,7 @@
 }
 
 void MemberConnection::Read() {
-  Written();  // an answer may be read before the loop tells of the write
+  Written();                  // an answer may be read before the loop tells of the write
   if (attempt_ == nullptr) {  // nobody asked
     ++home_.counters_.closed_as_stray;
     return Break();
@@ -81,7 +81,8 @@
   }
 }
 
-// Passes on what has come of a large value, `last` being the rest of it; false if the connection is gone, or is to wait.
+// Passes on what has come of a large value, `last` being the rest of it; false if the connection is gone, or
+// is to wait.
 bool MemberConnection::PassOn(evbuffer* last) {
   if (!codec_->Streams() && !began_) return true;
   if (!began_) {
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -61,7 +61,7 @@
   std::unique_ptr<ServerCodec> codec_;
   Attempt* attempt_ = nullptr;
   bool connected_ = false;
-  bool dispatched_ = false;  // the attempt's last byte was handed to the socket, and counted
+  bool dispatched_ = false;              // the attempt's last byte was handed to the socket, and counted
   bool began_ = false, paused_ = false;  // the answer's value is being passed on; and is not read for now
   TimePoint idle_since_{};
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
--- a/src/member/server_codec.h
+++ b/src/member/server_codec.h
@@ -29,8 +29,8 @@
   virtual std::optional<FlowReply> Read(evbuffer* in) = 0;
   // The answer, if the connection's end completes it.
   virtual std::optional<FlowReply> ReadAtEnd() { return std::nullopt; }
-  // The length of a value that is too large to wait for, once some of it has come; `Pass` gives what has come and
-  // was not given yet. Read's answer has no value then, and comes once the whole of it was given.
+  // The length of a value that is too large to wait for, once some of it has come; `Pass` gives what has come
+  // and was not given yet. Read's answer has no value then, and comes once the whole of it was given.
   virtual std::optional<std::size_t> Streams() const = 0;
   virtual void Pass(evbuffer* out) = 0;
   // Whether another request may follow on the connection: not after an answer that is malformed.
--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -721,8 +721,8 @@
   // ---- 7. Origin --------------------------------------------------------------------------------
 
   void ObserveOrigin(Server& origin, bool was_full) {
-    // Of the first answers one may be far quicker than all that follow: a base of its own would leave the origin
-    // looking overloaded, and its limit at the least, for good.
+    // Of the first answers one may be far quicker than all that follow: a base of its own would leave the
+    // origin looking overloaded, and its limit at the least, for good.
     bool first = origin_answers_ <= kOriginFirstAnswers;
     if (first || origin.latency < origin_base_) origin_base_ = origin.latency;
     origin_base_ *= kOriginCreep;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -1,13 +1,12 @@
 #include "pool/pool.h"
 
-#include "base/address.h"
-
 #include <stdexcept>
 
+#include "base/address.h"
+
 namespace peatbend::net {
 Pool::Pool(event_base* base, const std::string& address, const Settings& settings,
-           const Tuning::PoolWatch& tuning, PoolList known, Log& log, Counters& counters,
-           OnNews on_news)
+           const Tuning::PoolWatch& tuning, PoolList known, Log& log, Counters& counters, OnNews on_news)
     : base_(base),
       address_(address),
       settings_(settings),
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -23,8 +23,7 @@
   // Called with each change, and with kFailed once for each watch that could not be had or has ended.
   using OnNews = std::function<void(Scope, std::vector<PoolEntry>)>;
   Pool(event_base* base, const std::string& address, const Settings& settings,
-       const Tuning::PoolWatch& tuning, PoolList known, Log& log, Counters& counters,
-       OnNews on_news);
+       const Tuning::PoolWatch& tuning, PoolList known, Log& log, Counters& counters, OnNews on_news);
 
   // The list as last held, and its version.
   const std::map<std::string, PoolEntry>& held() const { return held_; }
--- a/src/protocol/request.h
+++ b/src/protocol/request.h
@@ -44,8 +44,8 @@
   virtual void Served(std::uint64_t place, evbuffer* value) = 0;
   virtual void Rejected(std::uint64_t place, Duration come_back) = 0;
   virtual void Failed(std::uint64_t place) = 0;
-  // Or the three below: a value of `length` bytes that is passed on as it comes. Ends is the last; not `whole`:
-  // the client must be able to tell.
+  // Or the three below: a value of `length` bytes that is passed on as it comes. Ends is the last; not
+  // `whole`: the client must be able to tell.
   virtual void Begins(std::uint64_t place, std::size_t length) = 0;
   // Takes the bytes. False: no more for now, till the stage is told to go on.
   virtual bool Piece(std::uint64_t place, evbuffer* bytes) = 0;
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -40,7 +40,8 @@
     std::string_view line;
     if (at_ < buffer.size() && buffer[at_] != '$') return Bad("expected a bulk string");
     if (Status status = Line(buffer, line); status != Status::kDone) return status;
-    if (!ParseLength(line.substr(1), may_be_body ? kMaxBody : kMaxValue, bulk_)) return Bad("bad bulk length");
+    if (!ParseLength(line.substr(1), may_be_body ? kMaxBody : kMaxValue, bulk_))
+      return Bad("bad bulk length");
     if (bulk_ < 0) {
       message_.items.push_back({.null = true});
       return Status::kDone;
@@ -68,7 +69,8 @@
 Parser::Status Parser::Advance(std::string_view buffer) {
   if (after_body_) {
     std::string_view end = "\r\n";
-    if (!buffer.starts_with(end)) return end.starts_with(buffer) ? Status::kMore : Bad("bulk string not ended");
+    if (!buffer.starts_with(end))
+      return end.starts_with(buffer) ? Status::kMore : Bad("bulk string not ended");
     at_ = end.size();
     after_body_ = false;
   }
--- a/src/protocol/resp.h
+++ b/src/protocol/resp.h
@@ -10,7 +10,7 @@
 namespace peatbend::net::resp {
 
 constexpr std::size_t kMaxValue = 64 * 1024;               // bytes of one bulk string
-constexpr std::size_t kMaxBody = 4 * 1024 * 1024;         // of one that is passed on as it comes
+constexpr std::size_t kMaxBody = 4 * 1024 * 1024;          // of one that is passed on as it comes
 constexpr std::size_t kMaxItems = 16;                      // of an array
 constexpr std::size_t kMaxMessage = kMaxValue + 8 * 1024;  // what a message may take in all
 constexpr std::size_t kMaxLine = 1024;                     // of a simple string, error or length
@@ -32,9 +32,9 @@
 
 class Parser {
  public:
-  // kBody: a bulk string of more than kMaxValue comes next, of body() bytes. The first head() bytes of the buffer
-  // stand before it. Whoever reads takes these and the body out of the buffer, calls BodyTaken and goes on with
-  // what follows.
+  // kBody: a bulk string of more than kMaxValue comes next, of body() bytes. The first head() bytes of the
+  // buffer stand before it. Whoever reads takes these and the body out of the buffer, calls BodyTaken and
+  // goes on with what follows.
   enum class Status { kMore, kDone, kBad, kBody };
   // `body_item`: the item of an array that may be a body; without one all are bounded by kMaxValue.
   explicit Parser(int body_item = -1) : body_item_(body_item) {}
--- a/src/router/life_cycle.cpp
+++ b/src/router/life_cycle.cpp
@@ -36,7 +36,8 @@
 
 bool LifeCycle::SuccessorLost() {
   handed_over_ = false;
-  return state_ == State::kHandingOver && Move(before_ == State::kStarting && pool_ ? State::kServing : before_);
+  return state_ == State::kHandingOver &&
+         Move(before_ == State::kStarting && pool_ ? State::kServing : before_);
 }
 
 bool LifeCycle::Stop() {
@@ -67,7 +68,8 @@
 
 // With a successor the two are one router, which takes clients unless it was told not to.
 bool LifeCycle::welcome() const {
-  bool as_before = rest() == Rest::kGoesToSuccessor && (before_ == State::kServing || before_ == State::kStarting);
+  bool as_before =
+      rest() == Rest::kGoesToSuccessor && (before_ == State::kServing || before_ == State::kStarting);
   return state_ == State::kServing || as_before;
 }
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -41,8 +41,9 @@
 PoolList Known(const Config& config, const std::optional<handover::Inheritance>& inherited, Log& log) {
   if (!inherited) return config.known;
   try {
-    return ReadPoolList({{"index", inherited->index}, {"snapshot", true}, {"endpoints", inherited->endpoints}},
-                        config.settings);
+    return ReadPoolList(
+        {{"index", inherited->index}, {"snapshot", true}, {"endpoints", inherited->endpoints}},
+        config.settings);
   } catch (const std::invalid_argument& error) {
     log.Line("handover", std::string("the pool handed on cannot be used: ") + error.what());
     return config.known;
@@ -60,8 +61,8 @@
       decision_(
           base, running_.settings, config.seed, connections_, [this] { pool_.Watch(); }, clock_, log_,
           counters_),
-      pool_(base, config.discovery, running_.settings, running_.tuning.pool, Known(config, inherited, log_), log_,
-            counters_,
+      pool_(base, config.discovery, running_.settings, running_.tuning.pool, Known(config, inherited, log_),
+            log_, counters_,
             [this](Scope scope, std::vector<PoolEntry> entries) {
               decision_.PoolNews(scope, std::move(entries));
             }),
@@ -70,12 +71,13 @@
                   .ready = [this] { SuccessorReady(); },
                   .lost = [this] { SuccessorLost(); },
                   .room = [this] { listener_.EndWhatRests(); }}),
-      listener_(base, Listening(config, inherited, log_), life_,
-                [this](ClientSession& session) { return HandOn(session); }, decision_, running_.settings,
-                running_.tuning.clients, sockets_,
-                static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte *
-                                         config.tuning.memory.unread_share),
-                memory_, clock_, log_, counters_),
+      listener_(
+          base, Listening(config, inherited, log_), life_,
+          [this](ClientSession& session) { return HandOn(session); }, decision_, running_.settings,
+          running_.tuning.clients, sockets_,
+          static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte *
+                                   config.tuning.memory.unread_share),
+          memory_, clock_, log_, counters_),
       door_(std::move(door)),
       late_clients_over_(base,
                          [this] {
@@ -95,14 +97,14 @@
   std::size_t known = entries.size();
   if (inherited) {
     if (inherited->away && life_.Leave()) Moved();
-    predecessor_.emplace(base, std::move(inherited->channel),
-                         handover::Predecessor::Calls{
-                             .client =
-                                 [this](handover::ClientHandle client) {
-                                   listener_.Adopt(client.socket.Release(), client.begun, client.begun_ago,
-                                                   client.asked);
-                                 },
-                             .keeps = [this](std::int64_t keeps, std::int64_t memory) { PredecessorKeeps(keeps, memory); }});
+    predecessor_.emplace(
+        base, std::move(inherited->channel),
+        handover::Predecessor::Calls{
+            .client =
+                [this](handover::ClientHandle client) {
+                  listener_.Adopt(client.socket.Release(), client.begun, client.begun_ago, client.asked);
+                },
+            .keeps = [this](std::int64_t keeps, std::int64_t memory) { PredecessorKeeps(keeps, memory); }});
     predecessor_->Ready();
   }
   decision_.PoolNews(Scope::kCached, std::move(entries));
@@ -123,9 +125,7 @@
   }
 }
 
-std::string Router::Health() {
-  return (life_.takes_clients() ? "ok " : "fail ") + std::string(life_.name());
-}
+std::string Router::Health() { return (life_.takes_clients() ? "ok " : "fail ") + std::string(life_.name()); }
 
 std::string Router::Leave() {
   if (life_.Leave()) {
@@ -230,7 +230,8 @@
   offer.index = pool_.index();
   offer.keeps = Keeps();
   offer.away = life_.away();
-  for (const auto& [name, entry] : pool_.held()) offer.endpoints.push_back(WritePoolEntry(entry, running_.settings));
+  for (const auto& [name, entry] : pool_.held())
+    offer.endpoints.push_back(WritePoolEntry(entry, running_.settings));
   return offer;
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -1,5 +1,5 @@
-// The stages, wired together in the order that a request passes them, and the life cycle over them. The program
-// runs one; tests too.
+// The stages, wired together in the order that a request passes them, and the life cycle over them. The
+// program runs one; tests too.
 #pragma once
 
 #include <functional>
@@ -52,8 +52,8 @@
  private:
   Duration LongestDeadline() const;
   void Moved();
-  // The descriptors and the memory for large values that this process may hold, with its predecessor's part taken
-  // off. While it hands over they only fall.
+  // The descriptors and the memory for large values that this process may hold, with its predecessor's part
+  // taken off. While it hands over they only fall.
   void Share();
   handover::Successor::Keeps Keeps() const;
   void TellKeeps();
--- a/src/stage/decision.cpp
+++ b/src/stage/decision.cpp
@@ -192,7 +192,8 @@
   flows.push_back(std::make_unique<ServerSideFlow>(*this, base_, clock_, send.id, attempt, send.server.name));
   ++transaction->open_flows;
   Duration left = transaction->deadline() - clock_.Now();
-  if (transaction->finished() || transaction->streams() >= 0 || left <= Duration::zero() || attempt >= settings_.try_limit) {
+  if (transaction->finished() || transaction->streams() >= 0 || left <= Duration::zero() ||
+      attempt >= settings_.try_limit) {
     ++counters_.outcomes[static_cast<std::size_t>(Result::kNeverSent)];
     return Post(Ended{send.id, attempt, send.server.name, std::move(never), {}});
   }
--- a/tests/net/large_value_test.cpp
+++ b/tests/net/large_value_test.cpp
@@ -50,7 +50,8 @@
   End& second = stage.Client(kRead);  // on the connection that the value came on
   stage.Until([&] { return stage.origin.Count("GET /") == 1; });
   End& origin = stage.origin.ends.front();
-  origin.Say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kMost) + "\r\n\r\n" + value.substr(0, 70000));
+  origin.Say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kMost) + "\r\n\r\n" +
+             value.substr(0, 70000));
   stage.Until([&] { return second.got.size() == opens.size() + 70000; });
   origin.Say(value.substr(70000));
   stage.Until([&] { return second.got.size() == opens.size() + kMost + 2; });
@@ -59,7 +60,8 @@
   CHECK(stage.member.ends.size() == 1);
 }
 
-TEST_CASE("a client's value of 4 MiB reaches the origin whole, and once more where the first try was cut off") {
+TEST_CASE(
+    "a client's value of 4 MiB reaches the origin whole, and once more where the first try was cut off") {
   const std::string value = Large(kMost);
   Stage stage({}, [&](End& end) {
     if (!end.got.ends_with(value)) return;
@@ -73,9 +75,12 @@
 
 TEST_CASE("more large values from clients than there is memory for: each has its turn") {
   const std::string value = Large(kMost);
-  Stage stage({}, [&](End& end) {
-    if (end.got.ends_with(value)) end.Say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  }, "", 1024, 32);
+  Stage stage(
+      {},
+      [&](End& end) {
+        if (end.got.ends_with(value)) end.Say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      },
+      "", 1024, 32);
   std::vector<End*> clients;
   for (int i = 0; i < 5; ++i)
     clients.push_back(&stage.Client(Set("000000000000000" + std::to_string(i), "c=keyed,d=1900,k=1", value)));
@@ -106,7 +111,8 @@
 TEST_CASE("a client that stops reading holds little, and leaving it frees the member") {
   const std::string value = Large(kMost);
   Stage stage(Stage::Says(Opens(kMost) + value + kTail), {}, "", 1024, 16);
-  for (int i = 0; i < 12; ++i) Deaf(stage, Get("000000000000001" + std::to_string(i % 10) + (i > 9 ? "x" : ""), "c=read,d=1900"));
+  for (int i = 0; i < 12; ++i)
+    Deaf(stage, Get("000000000000001" + std::to_string(i % 10) + (i > 9 ? "x" : ""), "c=read,d=1900"));
   auto from = std::chrono::steady_clock::now();
   stage.Until([&] {
     CHECK(stage.router.memory().held <= stage.router.memory().most);
@@ -122,7 +128,8 @@
 TEST_CASE("a slow reader gets its value whole, behind another answer too") {
   const std::string value = Large(kMost);
   Stage stage([&](End& end) {
-    end.Say(end.got.find("00000000000000aa") == std::string::npos ? Opens(kMost) + value + kTail : Value("v"));
+    end.Say(end.got.find("00000000000000aa") == std::string::npos ? Opens(kMost) + value + kTail
+                                                                  : Value("v"));
   });
   End& client = Deaf(stage, Get("00000000000000aa", "c=read,d=1900") + kRead);
   stage.Until([&] { return stage.router.counters().flows == 2; });
@@ -134,8 +141,9 @@
 
 TEST_CASE("a large value in pieces of one byte, and lengths that no value has") {
   const std::string value = Large(resp::kMaxValue + 1);
-  for (const std::string& text : {Opens(value.size()) + value + kTail,
-                                  "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(value.size()) + "\r\n\r\n" + value}) {
+  for (const std::string& text :
+       {Opens(value.size()) + value + kTail,
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(value.size()) + "\r\n\r\n" + value}) {
     auto codec = text[0] == '*' ? NewMemberCodec() : NewOriginCodec();
     BufferPtr in = NewBuffer(), out = NewBuffer(), passed = NewBuffer();
     codec->Encode(Request(), std::chrono::seconds(1), out.get());
@@ -152,8 +160,9 @@
     CHECK(Contents(passed.get()) == value);
     CHECK(codec->reusable());
   }
-  for (const std::string text : {"*3\r\n$4194305\r\n", "*3\r\n$3000000000\r\n", "*3\r\n$2\r\nab\r\n$65537\r\n",
-                                 "HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n"}) {
+  for (const std::string text :
+       {"*3\r\n$4194305\r\n", "*3\r\n$3000000000\r\n", "*3\r\n$2\r\nab\r\n$65537\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n"}) {
     auto codec = text[0] == '*' ? NewMemberCodec() : NewOriginCodec();
     BufferPtr in = NewBuffer(), out = NewBuffer();
     codec->Encode(Request(), std::chrono::seconds(1), out.get());
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -1,5 +1,5 @@
-// What operators do, on real sockets: the second address, a drain, an upgrade. Both processes of an upgrade are
-// routers on one loop here; the asking of the second, which waits, runs on a thread.
+// What operators do, on real sockets: the second address, a drain, an upgrade. Both processes of an upgrade
+// are routers on one loop here; the asking of the second, which waits, runs on a thread.
 #include <sys/socket.h>
 #include <sys/un.h>
 
@@ -98,7 +98,9 @@
     End& fresh = stage.clients.emplace_back(stage.base.get(), -1);
     fresh.Connect(next.port());
     fresh.Say("*1\r\n$4\r\nPING\r\n");
-    stage.Until([&] { return idle.got + half.got + waits.got + fresh.got == "+PONG\r\n+PONG\r\n+PONG\r\n+PONG\r\n"; });
+    stage.Until([&] {
+      return idle.got + half.got + waits.got + fresh.got == "+PONG\r\n+PONG\r\n+PONG\r\n+PONG\r\n";
+    });
     CHECK(!idle.closed);
   }
 }
@@ -172,8 +174,8 @@
     answers.join();
   }
   SUBCASE("one that speaks another version, or nonsense") {
-    for (auto [type, version, word] : {std::tuple{"offer", 99, "cannot use"}, {"refused", 99, "refuses"},
-                                       {"what", 1, "cannot be read"}}) {
+    for (auto [type, version, word] :
+         {std::tuple{"offer", 99, "cannot use"}, {"refused", 99, "refuses"}, {"what", 1, "cannot be read"}}) {
       handover::FileHandle door = handover::ListenAt(folder.Door());
       std::thread answers([&, type = type, version = version] {
         handover::FileHandle caller;
@@ -361,7 +363,8 @@
   CHECK(std::chrono::steady_clock::now() - from < std::chrono::milliseconds(3700));
   std::size_t answers = 0;
   for (std::size_t at = 0; (at = busy.got.find("\r\n", at)) != std::string::npos; at += 2)
-    answers += at + 2 >= busy.got.size() || std::string_view("$-").find(busy.got[at + 2]) != std::string_view::npos;
+    answers +=
+        at + 2 >= busy.got.size() || std::string_view("$-").find(busy.got[at + 2]) != std::string_view::npos;
   CHECK(answers == stage.router.counters().transactions);
 }
 
