Let a stopping process wait for clients that its predecessor still hands on

Seen by a new test of two upgrades close together, with a drain and a reload between: the second process could end while the first still had a client to hand on, which would have been lost. Its end now waits for the first's, within the time of a stop; the last moment of a stop calls back once.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -83,7 +83,10 @@
                          [this] {
                            if (life_.LateClientsOver()) Moved();
                          }),
-      stop_at_last_(base, [this] { then_(); }),
+      stop_at_last_(base,
+                    [this] {
+                      if (!std::exchange(ended_, true)) then_();
+                    }),
       tell_keeps_(base, [this] { TellKeeps(); }),
       end_(base, [this] { End(); }) {
   running_.known = {};  // read once; the list moves on without it
@@ -154,9 +157,9 @@
   Moved();
 }
 
-// No session is left; what was handed on leaves first.
+// No session is left; what was handed on leaves first, and what the process before still has comes first.
 void Router::End() {
-  if (!successor_.idle()) return end_.Set(kEndAgain);
+  if (!successor_.idle() || predecessor_keeps_ > 0) return end_.Set(kEndAgain);
   if (!std::exchange(ended_, true)) then_();
 }
 
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -144,6 +144,40 @@
   CHECK(stage.router.descriptors() + next.descriptors() <= 128);
 }
 
+TEST_CASE("upgrade: one upon another, with a drain and a reload between, loses nothing") {
+  Folder folder;
+  Stage stage({}, {}, "", 256, 192, folder.Door());
+  End& waits = stage.Client(Get(kKey, "c=read,d=1900"));
+  stage.Until([&] { return stage.member.Count("OBJ.GET") == 1; });
+  std::string said;
+  auto first = AskFrom(stage, folder.Door(), said);
+  REQUIRE_MESSAGE(first.has_value(), said);
+  Router second(stage.base.get(), stage.Configured("", 256), std::move(first), folder.Door());
+  stage.Until([&] { return stage.router.life().state() == LifeCycle::State::kHandingOver; });
+  CHECK(second.Leave() == "ok leaving");
+  second.Reload([&] { return stage.Configured("", 256); });
+  auto next = AskFrom(stage, folder.Door(), said);
+  REQUIRE_MESSAGE(next.has_value(), said);
+  CHECK(next->away);
+  Router third(stage.base.get(), stage.Configured("", 256), std::move(next), folder.Door());
+  stage.Until([&] { return second.life().state() == LifeCycle::State::kHandingOver; });
+  CHECK(third.Health() == "ok leaving");
+  CHECK(third.Join() == "ok serving");
+  CHECK(stage.router.descriptors() + second.descriptors() + third.descriptors() <= 256);
+  int ended = 0;
+  stage.router.Stop([&] { ++ended; });
+  second.Stop([&] { ++ended; });
+  stage.Rest();
+  CHECK(ended == 0);  // the second waits for what the first still has
+  for (End& end : stage.member.ends) end.Say(Value("v"));
+  stage.Until([&] { return waits.got == "$1\r\nv\r\n"; });
+  stage.Until([&] { return third.counters().clients_accepted == 1; });  // by way of the second
+  waits.got.clear();
+  waits.Say("*1\r\n$4\r\nPING\r\n");
+  stage.Until([&] { return waits.got == "+PONG\r\n"; });
+  stage.Until([&] { return ended == 2; });  // the second at its last, for here the first stays as an object
+}
+
 TEST_CASE("upgrade: whatever stands at the door, a start goes on, and says why it takes nothing over") {
   Folder folder;
   Stage stage;
