Drop a bound nobody set and a getter nobody calls; let an inherited drain go on

Read again: the HTTP reader's second bound was never given, Decision::ready had no caller left. A new process that inherits LEAVE moved its state by hand, beside Leave, and so never began to close idle connections; it calls Leave now, and a drain that a lost successor interrupts goes on too.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -42,7 +42,8 @@
   std::optional<handover::Inheritance> inherited;
   if (!door.empty()) {
     inherited = handover::AskPredecessor(door, kAskPredecessor, [&](std::string_view why) {
-      std::fprintf(stderr, "peatbend %s: handover: %.*s\n", config.name.c_str(), static_cast<int>(why.size()), why.data());
+      std::fprintf(stderr, "peatbend %s: handover: %.*s\n", config.name.c_str(), static_cast<int>(why.size()),
+                   why.data());
     });
   }
   Router router(base.get(), config, std::move(inherited), door);
--- a/src/protocol/http1.cpp
+++ b/src/protocol/http1.cpp
@@ -98,7 +98,7 @@
     part_ = Part::kDone;
   } else if (!length.empty()) {
     if (!ParseNumber(length, left_)) return Bad("bad content length");
-    if (left_ > max_length_) return Bad("body too long");
+    if (left_ > max_body_) return Bad("body too long");
     length_ = left_;
     part_ = Part::kLength;
   } else {
@@ -120,8 +120,7 @@
 // Moves what has come of the body; false if that is more than is taken.
 bool ResponseReader::Move(evbuffer* in) {
   std::uint64_t has = evbuffer_get_length(in), take = part_ == Part::kUntilEnd ? has : std::min(has, left_);
-  std::size_t most = part_ == Part::kLength ? max_length_ : max_body_;
-  if (evbuffer_get_length(body_.get()) + take > most) return false;
+  if (evbuffer_get_length(body_.get()) + take > max_body_) return false;
   evbuffer_remove_buffer(in, body_.get(), take);
   if (part_ != Part::kUntilEnd) left_ -= take;
   return true;
--- a/src/protocol/http1.h
+++ b/src/protocol/http1.h
@@ -18,9 +18,7 @@
  public:
   enum class Status { kMore, kDone, kBad };
   // `max_body`: more than that standing in body() at once is refused.
-  // `max_length`: of a Content-Length; 0: as `max_body`.
-  explicit ResponseReader(std::size_t max_body, std::size_t max_length = 0)
-      : max_body_(max_body), max_length_(max_length > 0 ? max_length : max_body) {}
+  explicit ResponseReader(std::size_t max_body) : max_body_(max_body) {}
 
   Status Read(evbuffer* in);
   // The connection has ended.
@@ -45,7 +43,7 @@
   Status ReadLine(evbuffer* in, std::string& line);
   bool Move(evbuffer* in);
 
-  std::size_t max_body_, max_length_;
+  std::size_t max_body_;
   std::optional<std::size_t> length_;
   Part part_ = Part::kHead;
   int status_ = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -99,7 +99,7 @@
   for (const auto& [name, entry] : pool_.held()) entries.push_back(entry);
   std::size_t known = entries.size();
   if (inherited) {
-    if (inherited->away && life_.Leave()) Moved();
+    if (inherited->away) Leave();
     predecessor_.emplace(
         base, std::move(inherited->channel),
         handover::Predecessor::Calls{
@@ -256,6 +256,7 @@
   log_.Line("handover", "the new process has ended");
   bool moved = life_.SuccessorLost();
   Share();
+  if (life_.away()) late_clients_over_.Set(kLateClients);  // it may have gone off in between
   if (moved) Moved();
 }
 
--- a/src/stage/decision.h
+++ b/src/stage/decision.h
@@ -43,10 +43,10 @@
   // The client has taken what waited for it of a large value.
   void GoOn(RequestId id);
 
-  bool ready() const { return ready_; }  // there is a pool to serve from
   std::size_t transactions() const { return transactions_.size(); }
   std::size_t open() const { return open_ids_.size(); }  // taken and not yet answered
   const Balancer& balancer() const { return balancer_; }
+  // Called once, when there is a pool to serve from.
   void OnReady(std::function<void()> then) { on_ready_ = std::move(then); }
 
  private:
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -162,6 +162,7 @@
   Router third(stage.base.get(), stage.Configured("", 256), std::move(next), folder.Door());
   stage.Until([&] { return second.life().state() == LifeCycle::State::kHandingOver; });
   CHECK(third.Health() == "ok leaving");
+  stage.Until([&] { return third.life().state() == LifeCycle::State::kEmptying; });  // it goes on there
   CHECK(third.Join() == "ok serving");
   CHECK(stage.router.descriptors() + second.descriptors() + third.descriptors() <= 256);
   int ended = 0;
