Begin anew with a server's new process: bounds, base, outcomes; ignore an older start

An origin started anew under its name began with a bound of 1 and its predecessor's base latency: 1 write at once instead of 6; among 300 routers 1 each instead of 0.21, 300 at once instead of 64. With a base ten times quicker its bound sank to 2. 2. Outcomes of attempts to the process before were booked on the new one: bound cut, strikes, ejection. 3. An older start, as a late list tells it, made a cold server a new and warm one: 8 reads at once instead of 2. Ruled out: the wire and the pool's list (both pass starts on as told), Forget (only the gone are forgotten). At fault: Learn (bound of the origin only where the name is new; any other start counted as new), the members origin_base_ and origin_answers_ (of no process), On(OutcomeEvent). Change: one place makes a new process and its first bound; base and count of answers are the server's; outcomes of what was sent before it was told of give back their place and tell nothing else; an older start is passed over.

--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -165,10 +165,12 @@
     bool origin = false;
     int cell = 0, zone = 0;
     double weight = 1;
-    TimePoint started{};
+    TimePoint started{}, replaced{};  // the newest told; when it followed another process
     // What this proxy has seen of it.
-    int in_flight = 0;
+    int in_flight = 0;               // also what went to the process before and is still out
     double limit = 1, latency = 0;   // in-flight bound; smoothed, ns, 0: none yet
+    double base = 0;                 // origin: the least that the latency has been, creeping up
+    int answers = 0;                 // origin: so many
     TimePoint cut{}, rests_until{};  // when the bound was last cut; left alone till then
     Fading trouble{};                // told of by peers, or seen
     int strikes = 0, ejections = 0;  // failures in a row; in a row
@@ -232,21 +234,23 @@
       }
       at->second = free_.back();
       free_.pop_back();
-      servers_[at->second] = Server{.id = entry.id.name};
     }
     Server& server = servers_[at->second];
-    if (server.started != entry.started) {  // a new process: nothing seen of the old one holds
+    bool origin = set_.aside && entry.kind == set_.origin_kind;
+    // A new process: nothing seen of the old one holds. All machines read one clock, so an older start is
+    // what a late list tells of the process before.
+    if (fresh || entry.started > server.started) {
       server = Server{.id = entry.id.name,
+                      .origin = origin,
                       .started = entry.started,
+                      .replaced = fresh ? TimePoint{} : now_,
                       .in_flight = server.in_flight,
+                      .limit = origin ? std::min(kOriginFew, kOriginFirst / set_.proxies) : FirstLimit(),
                       .cold_sends = Unit(Random()),
                       .cold_at = now_,
                       .queue = std::move(server.queue)};
     }
     server.listed = entry.listed;
-    server.origin = set_.aside && entry.kind == set_.origin_kind;
-    if (server.origin && fresh) server.limit = std::min(kOriginFew, kOriginFirst / set_.proxies);
-    if (!server.origin && server.latency == 0) server.limit = FirstLimit();
     server.cell = entry.cell;
     server.zone = entry.zone;
     server.weight = entry.weight;
@@ -612,7 +616,7 @@
     TimePoint latest = request.deadline - 2 * set_.tick;
     if (cls.late_share <= 0) latest = std::min(latest, request.arrived + Scale(cls.aim, kHoldMost));
     // What would be sent too late to be answered is not sent: it would only time out.
-    double needs = servers_[index].origin ? origin_base_ : kTimeNeeded * Usually(servers_[index]);
+    double needs = servers_[index].origin ? servers_[index].base : kTimeNeeded * Usually(servers_[index]);
     latest = std::min(latest, request.deadline - Nanos(needs));
     // Nor does a client wait in vain for what no server has seen: it is told while it can still ask again.
     bool unsent = std::none_of(request.attempts.begin(), request.attempts.end(),
@@ -672,7 +676,7 @@
     double elapsed = Ns(event.elapsed);
     switch (event.result) {
       case Result::kGood:
-        if (server.origin) ++origin_answers_;
+        if (server.origin) ++server.answers;
         server.latency += LatencyPart(server) * (elapsed - server.latency);
         [[fallthrough]];
       case Result::kMiss:
@@ -698,7 +702,7 @@
         return;
       case Result::kLate:
         if (server.origin && Sparse()) server.latency += kSmoothing * (elapsed - server.latency);
-        if (!server.origin || elapsed > kOriginSlow * origin_base_) Cut(server, 0.7);
+        if (!server.origin || elapsed > kOriginSlow * server.base) Cut(server, 0.7);
         return Strike(server, 1);
       case Result::kNoConn:
         return Strike(server, 2);
@@ -715,7 +719,7 @@
   // Of a new latency in the smoothed one: the origin's first answers all count alike.
   double LatencyPart(const Server& server) const {
     if (server.latency <= 0) return 1;
-    return server.origin ? std::max(kSmoothing, 1.0 / origin_answers_) : kSmoothing;
+    return server.origin ? std::max(kSmoothing, 1.0 / server.answers) : kSmoothing;
   }
 
   // ---- 7. Origin --------------------------------------------------------------------------------
@@ -723,13 +727,13 @@
   void ObserveOrigin(Server& origin, bool was_full) {
     // Of the first answers one may be far quicker than all that follow: a base of its own would leave the
     // origin looking overloaded, and its limit at the least, for good.
-    bool first = origin_answers_ <= kOriginFirstAnswers;
-    if (first || origin.latency < origin_base_) origin_base_ = origin.latency;
-    origin_base_ *= kOriginCreep;
-    if (origin.latency > kOriginSlow * origin_base_) {
+    bool first = origin.answers <= kOriginFirstAnswers;
+    if (first || origin.latency < origin.base) origin.base = origin.latency;
+    origin.base *= kOriginCreep;
+    if (origin.latency > kOriginSlow * origin.base) {
       Cut(origin, 0.85);
     } else if (was_full) {  // fast while there is no sign of a queue
-      bool calm = origin.latency < kOriginCalm * origin_base_;
+      bool calm = origin.latency < kOriginCalm * origin.base;
       double step = origin.limit < 1 ? 0.1 * origin.limit : calm ? 1 : 1 / origin.limit;
       origin.limit = std::min(kOriginMost, origin.limit + step);
     }
@@ -865,7 +869,7 @@
     ++server.in_flight;
     if (server.ejected) server.trial_out = true;
     if (server.limit < 1) {
-      double latency = server.origin ? origin_base_ : server.latency;
+      double latency = server.origin ? server.base : server.latency;
       if (latency <= 0) latency = kFirstLatency * Ns(set_.classes[request.cls].aim);
       Pace(server.not_before, Nanos(latency / server.limit), server.origin ? kOriginBurst : 1);
     }
@@ -913,7 +917,8 @@
     if (index >= 0) {
       if (servers_[index].in_flight > 0) --servers_[index].in_flight;
       ReleaseIdle(servers_[index]);
-      Observe(servers_[index], event);
+      // What was sent before this process was told of went to the one before: no sign of how this one does.
+      if (now_ - event.elapsed >= servers_[index].replaced) Observe(servers_[index], event);
     }
     auto at = requests_.find(event.id);
     if (at != requests_.end()) Settle(at->second, event, index);
@@ -1035,8 +1040,6 @@
   std::vector<Fading> tenants_{set_.tenants.size()};
   std::vector<int> tried_;
   std::uint64_t sequence_ = 0, mark_ = 0, tables_built_ = 0;
-  double origin_base_ = 0;
-  int origin_answers_ = 0;
   double retry_most_ = std::clamp(kRetryMost / set_.proxies, kRetryLow, kRetryHigh),
          retry_budget_ = retry_most_;
   std::map<int, Latency> zones_;
--- a/tests/orders/checker.h
+++ b/tests/orders/checker.h
@@ -178,8 +178,7 @@
     if (!at_origin) CheckCold(server, now);
     request.tries.push_back({send.server.name, server.zone, server.cell, now});
     TimePoint give_up = send.give_up_after > Duration{} ? now + send.give_up_after : request.deadline;
-    flights.push_back(
-        {number, send.id, attempt, send.server.name, now, std::min(request.deadline, give_up)});
+    flights.push_back({number, send.id, attempt, send.server.name, now, std::min(request.deadline, give_up)});
   }
 
   // The budget of a cold server, over all routers that were told of its start: the multiple of what it can do
--- a/tests/orders/checker_test.cpp
+++ b/tests/orders/checker_test.cpp
@@ -39,9 +39,7 @@
     event.done = result == Result::kGood;
     Told(event);
   }
-  std::string Broken() const {
-    return checker.broken().empty() ? "" : checker.broken().front();
-  }
+  std::string Broken() const { return checker.broken().empty() ? "" : checker.broken().front(); }
 };
 
 TEST(Checker, ALegalStreamBreaksNothing) {
@@ -60,7 +58,9 @@
   const std::pair<std::string, std::function<void(Stream&)>> cases[] = {
       {"no final answer in time", [](Stream& s) { s.Ask(kRead), s.checker.Clock(s.now + 1021ms); }},
       {"a second final answer",
-       [](Stream& s) { s.Ask(kRead), s.Did(Refuse{RequestId{1}, {}}), s.Did(Fail{RequestId{1}}); }},
+       [](Stream& s) {
+         s.Ask(kRead), s.Did(Refuse{RequestId{1}, {}}), s.Did(Fail{RequestId{1}});
+       }},
       {"an attempt after the final answer",
        [](Stream& s) { s.Ask(kRead), s.Send("a"), s.Outcome("a", Result::kGood), s.Send("a"); }},
       {"two attempts out at once", [](Stream& s) { s.Ask(kRead), s.Send("a"), s.Send("b"); }},
@@ -70,14 +70,19 @@
          for (int i = 0; i <= s.set.try_limit; ++i) s.Send("a"), s.Outcome("a", Result::kBad, i);
        }},
       {"an unsafe request repeated",
-       [](Stream& s) { s.Ask(kUnsafeWrite), s.Send("origin"), s.Outcome("origin", Result::kBad), s.Send("origin"); }},
+       [](Stream& s) {
+         s.Ask(kUnsafeWrite), s.Send("origin"), s.Outcome("origin", Result::kBad), s.Send("origin");
+       }},
       {"a keyed request repeated after its window",
        [](Stream& s) {
-         s.Ask(kKeyedWrite), s.Send("origin"), s.Outcome("origin", Result::kReset), s.now += 401ms, s.Send("origin");
+         s.Ask(kKeyedWrite), s.Send("origin"), s.Outcome("origin", Result::kReset), s.now += 401ms,
+             s.Send("origin");
        }},
       {"a write to a server that only stores", [](Stream& s) { s.Ask(kKeyedWrite), s.Send("a"); }},
       {"a refusal of what may have run",
-       [](Stream& s) { s.Ask(kUnsafeWrite), s.Send("origin"), s.Did(Refuse{RequestId{1}, {}}); }},
+       [](Stream& s) {
+         s.Ask(kUnsafeWrite), s.Send("origin"), s.Did(Refuse{RequestId{1}, {}});
+       }},
       {"an attempt at a server that no list has named", [](Stream& s) { s.Ask(kRead), s.Send("c"); }},
       {"an attempt at a draining or gone server after the grace",
        [](Stream& s) {
--- a/tests/orders/module_test.cpp
+++ b/tests/orders/module_test.cpp
@@ -1,11 +1,10 @@
 // The decision module under all orders of a few events, two routers on one tiny fleet. Each order is played
 // within one moment, a moment apart, and so far apart that a drain's grace is over in between; then time
 // passes until all must be answered.
-#include "orders/orders.h"
-
 #include <chrono>
 #include <iostream>
 
+#include "orders/orders.h"
 #include "orders/play.h"
 
 namespace peatbend::orders {
@@ -53,10 +52,11 @@
       play.Pass(settings.classes[kRead].deadline + 100ms);
       sends += play.checker.sends();
       if (play.checker.open() == 0 && play.checker.broken().empty()) return;
-      std::string rule = play.checker.broken().empty() ? "a request without an answer" : play.checker.broken().front();
+      std::string rule =
+          play.checker.broken().empty() ? "a request without an answer" : play.checker.broken().front();
       if (++failures <= 3) {
-        ADD_FAILURE() << rule << " in: " << Names(order) << ", " << apart.count() / 1000000 << " ms apart; did "
-                      << play.log.str();
+        ADD_FAILURE() << rule << " in: " << Names(order) << ", " << apart.count() / 1000000
+                      << " ms apart; did " << play.log.str();
       }
     });
   }
@@ -67,17 +67,20 @@
 }
 
 TEST(Orders, ADrainAmidRequestsOfThreeClasses) {
-  PlayAll("drain", {Asks("ask", 0, 1, kRead), Asks("ask keyed", 0, 2, kKeyedWrite),
-                    Asks("ask unsafe", 1, 3, kUnsafeWrite), Lists("a drains", Entry("a", Listed::kDraining)),
-                    Ends("bad", 0, Result::kBad), Ends("reset", 1, Result::kReset),
+  PlayAll("drain", {Asks("ask", 0, 1, kRead),
+                    Asks("ask keyed", 0, 2, kKeyedWrite),
+                    Asks("ask unsafe", 1, 3, kUnsafeWrite),
+                    Lists("a drains", Entry("a", Listed::kDraining)),
+                    Ends("bad", 0, Result::kBad),
+                    Ends("reset", 1, Result::kReset),
                     {"client leaves", [](Play& play) { play.Leave(0, 1); }}});
 }
 
 TEST(Orders, AServerGoesAndIsBackAnew) {
   PlayAll("gone and back",
-          {Asks("ask", 0, 1, kRead), Asks("ask there", 1, 2, kRead), Lists("a gone", Entry("a", Listed::kGone)),
-           Starts("a new", "a"), Lists("a as it was", Entry("a")), Ends("miss", 0, Result::kMiss),
-           Ends("no connection", 1, Result::kNoConn)});
+          {Asks("ask", 0, 1, kRead), Asks("ask there", 1, 2, kRead),
+           Lists("a gone", Entry("a", Listed::kGone)), Starts("a new", "a"), Lists("a as it was", Entry("a")),
+           Ends("miss", 0, Result::kMiss), Ends("no connection", 1, Result::kNoConn)});
 }
 
 TEST(Orders, TheOriginIsReplacedUnderWrites) {
@@ -96,9 +99,12 @@
 }
 
 TEST(Orders, OneFetchIsSharedByManyAskers) {
-  PlayAll("one fetch", {Asks("ask for 60 ms", 0, 1, kRead, 60ms), Asks("ask", 0, 2, kRead),
-                        Asks("ask too", 0, 3, kRead, 300ms), Ends("miss", 0, Result::kMiss),
-                        Ends("miss", 0, Result::kMiss), Ends("bad", 0, Result::kBad),
+  PlayAll("one fetch", {Asks("ask for 60 ms", 0, 1, kRead, 60ms),
+                        Asks("ask", 0, 2, kRead),
+                        Asks("ask too", 0, 3, kRead, 300ms),
+                        Ends("miss", 0, Result::kMiss),
+                        Ends("miss", 0, Result::kMiss),
+                        Ends("bad", 0, Result::kBad),
                         {"first leaves", [](Play& play) { play.Leave(0, 1); }}});
 }
 
@@ -107,13 +113,45 @@
   settings.must_subscribe = true;
   settings.ask_every = 2s;
   PlayAll("late lists",
-          {Asks("ask", 0, 1, kRead), Asks("ask unsafe", 1, 2, kUnsafeWrite), Starts("a new", "a"),
-           {"an old list", [](Play& play) { play.List({Entry("a"), Entry("origin")}); }},
+          {Asks("ask", 0, 1, kRead),
+           Asks("ask unsafe", 1, 2, kUnsafeWrite),
+           Starts("a new", "a"),
+           {"an old list",
+            [](Play& play) {
+              play.List({Entry("a"), Entry("origin")});
+            }},
            {"an empty list", [](Play& play) { play.List({}); }},
            {"watch lost", [](Play& play) { play.List({}, Scope::kFailed); }},
            Ends("reset", 0, Result::kReset)},
           settings);
 }
 
+// Both routers' sends to a cold server, when all ask for a key that is its own; and the older start that a
+// late list tells in between.
+TEST(Orders, AColdServerGetsItsBudgetFromAllTogether) {
+  Settings settings = BasicSettings();
+  settings.proxies = 2;
+  auto answered = [](Play& play) {  // what each has seen of warm servers: two a second
+    for (unsigned id = 1000; id < 1040; ++id) {
+      play.Ask(id % 2, id, Key{id}, kRead);
+      play.SettleOldest(id % 2, Result::kGood);
+      play.Pass(250ms);
+    }
+    play.List({At(Entry("a"), play.now), At(Entry("b"), play.now)}, Scope::kDelta);
+  };
+  auto burst = [](std::string name, int router, unsigned first) -> Happening<Play> {
+    return {std::move(name), [=](Play& play) {
+              for (unsigned id = first; id < first + 5; ++id) {
+                play.Ask(router, id, kKey, kRead);
+                play.SettleOldest(router, Result::kGood);
+              }
+            }};
+  };
+  PlayAll("cold",
+          {burst("burst 1", 0, 1), burst("burst 2", 0, 11), burst("burst 3", 1, 21), burst("burst 4", 1, 31),
+           Lists("an older start", Entry("a")), Ends("miss", 0, Result::kMiss)},
+          settings, 2, answered);
+}
+
 }  // namespace
 }  // namespace peatbend::orders
--- a/tests/orders/play.h
+++ b/tests/orders/play.h
@@ -1,5 +1,5 @@
-// A few routers' decision modules, played against a tiny fleet on a passed-in clock: what comes is said by the
-// test, time-outs and timers by the clock, and the rules are checked after each event.
+// A few routers' decision modules, played against a tiny fleet on a passed-in clock: what comes is said by
+// the test, time-outs and timers by the clock, and the rules are checked after each event.
 #pragma once
 
 #include <deque>
@@ -14,7 +14,8 @@
  public:
   explicit Play(const Settings& settings, int routers = 1, std::uint64_t seed = 7, double capacity = 0)
       : set(settings), checker(settings, capacity) {
-    for (int i = 0; i < routers; ++i) routers_.push_back({Balancer(settings, seed + static_cast<unsigned>(i)), {}});
+    for (int i = 0; i < routers; ++i)
+      routers_.push_back({Balancer(settings, seed + static_cast<unsigned>(i)), {}});
   }
 
   void Take(int number, const Event& event) {
@@ -28,13 +29,15 @@
       if (const auto* send = std::get_if<Send>(&action)) {
         log << "S" << static_cast<unsigned>(send->id) << send->server.name << ' ';
       }
-      if (const auto* refuse = std::get_if<Refuse>(&action)) log << "R" << static_cast<unsigned>(refuse->id) << ' ';
+      if (const auto* refuse = std::get_if<Refuse>(&action))
+        log << "R" << static_cast<unsigned>(refuse->id) << ' ';
       if (const auto* fail = std::get_if<Fail>(&action)) log << "F" << static_cast<unsigned>(fail->id) << ' ';
       if (const auto* timer = std::get_if<SetTimer>(&action)) router.timers.push_back(now + timer->in);
     }
   }
 
-  void Ask(int router, unsigned id, std::optional<Key> key, int cls, Duration remaining = std::chrono::seconds(1)) {
+  void Ask(int router, unsigned id, std::optional<Key> key, int cls,
+           Duration remaining = std::chrono::seconds(1)) {
     RequestEvent event;
     event.id = RequestId{id};
     event.key = key;
@@ -67,7 +70,8 @@
   // The oldest attempt that is out of this router, if there is one; at this server, if one is named.
   void SettleOldest(int router, Result result, const std::string& server = "") {
     for (const Checker::Flight& flight : checker.flights) {
-      if (flight.router == router && (server.empty() || flight.server == server)) return Settle(flight, result);
+      if (flight.router == router && (server.empty() || flight.server == server))
+        return Settle(flight, result);
     }
   }
 
