Answer PING as told before the stop when a successor comes late

At fault: LifeCycle::Stop left before_ as the last hand-over had set it, or at its default. Change: Stop notes where it was, as SuccessorReady does.

--- a/src/router/life_cycle.cpp
+++ b/src/router/life_cycle.cpp
@@ -43,6 +43,7 @@
 bool LifeCycle::Stop() {
   if (stopping()) return false;
   handed_over_ = state_ == State::kHandingOver;
+  if (!handed_over_) before_ = state_;
   return Move(handed_over_ ? State::kFinishing : State::kStopping);
 }
 
--- a/tests/net/operations_test.cpp
+++ b/tests/net/operations_test.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 #include <utility>
 
-#include "stage.h"
+#include "net/stage.h"
 
 namespace peatbend::net::test {
 namespace {
--- a/tests/orders/orders.h
+++ b/tests/orders/orders.h
@@ -28,6 +28,21 @@
   return orders;
 }
 
+// Calls `play` with each sequence of so many events, any of them as often as it likes; returns how many there
+// were.
+template <typename Play, typename Then>
+std::size_t ForEachSequence(const std::vector<Happening<Play>>& events, std::size_t length, Then play,
+                            std::vector<Happening<Play>> begun = {}) {
+  if (begun.size() == length) return play(begun), 1;
+  std::size_t sequences = 0;
+  for (const auto& event : events) {
+    begun.push_back(event);
+    sequences += ForEachSequence(events, length, play, begun);
+    begun.pop_back();
+  }
+  return sequences;
+}
+
 template <typename Play>
 std::string Names(const std::vector<Happening<Play>>& events) {
   std::string names;
