Use no connection of a member's former process or address again

Seen (tests/net/beliefs_test.cpp, both failed): an answer that came over the old address after the new one was told put its connection among the idle ones, and the next request went to the old address; idle connections stood on after a new start under the same name and address, so that the first requests after the loss of a machine each waited out their time. Ruled out: the module (it names the server, not the way), CloseIdle on a move (it saw what was idle then). At fault: MemberConnections::Learn (compared the address alone, and only what stood idle) and Idle (asked only whether the member is gone). Change: a move, a newer start or a drain outdates all connections that stand; those with an attempt end with it.

--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -162,13 +162,17 @@
     member.name = entry.entry.id.name;
     member.gone = entry.entry.listed == Listed::kGone;
     member.origin = settings_.aside && entry.entry.kind == settings_.origin_kind;
-    if (!entry.address.empty() && entry.address != member.address) {  // moved: what stands there is another's
-      CloseIdle(member.name);
+    bool moved = !entry.address.empty() && entry.address != member.address;
+    if (moved) {
       member.address = entry.address;
       member.to = entry.to;
       member.to_size = entry.to_size;
     }
-    if (entry.entry.listed != Listed::kReady) CloseIdle(member.name);
+    // What stands open leads to another process, or to one that gets nothing new. An older start is a late
+    // list's.
+    if (moved || entry.entry.started > member.started || entry.entry.listed != Listed::kReady)
+      Outdate(member);
+    member.started = std::max(member.started, entry.entry.started);
   }
   for (auto at = members_.begin(); at != members_.end();) DropIfGone((at++)->second);
 }
@@ -233,7 +237,7 @@
 }
 
 void MemberConnections::Idle(MemberConnection& connection) {
-  if (connection.member_.gone) return Close(connection);
+  if (connection.member_.gone || connection.outdated_) return Close(connection);
   Duration idle = settings_.keepalive > Duration::zero() ? settings_.keepalive : Duration(tuning_.keepalive);
   connection.idle_since_ = clock_.Now();
   connection.member_.idle.push_back(&connection);
@@ -253,6 +257,11 @@
   while (!found->second.idle.empty()) Close(*found->second.idle.back());
 }
 
+void MemberConnections::Outdate(Member& member) {
+  CloseIdle(member.name);
+  for (auto& connection : member.connections) connection->outdated_ = true;
+}
+
 void MemberConnections::CloseAllIdle() {
   for (auto& [name, member] : members_) {
     while (!member.idle.empty()) Close(*member.idle.back());
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -63,6 +63,7 @@
   bool connected_ = false;
   bool dispatched_ = false;              // the attempt's last byte was handed to the socket, and counted
   bool began_ = false, paused_ = false;  // the answer's value is being passed on; and is not read for now
+  bool outdated_ = false;  // the member has moved or started anew since it was dialled: ends with its attempt
   TimePoint idle_since_{};
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
   Timer timer_;  // dialling: not up in time; idle: to be closed
@@ -73,6 +74,7 @@
   std::string name, address;
   sockaddr_storage to{};
   int to_size = 0;
+  TimePoint started{};  // its process, as listed
   bool origin = false, gone = false;
   std::list<std::unique_ptr<MemberConnection>> connections;
   std::vector<MemberConnection*> idle;  // the last used last
@@ -87,6 +89,8 @@
   // Null if no connection can be tried.
   MemberConnection* Begin(Attempt& attempt, const Request& request, Duration limit);
   void CloseIdle(const std::string& member);
+  // No request that comes later goes out on a connection that stands now.
+  void Outdate(Member& member);
   void CloseAllIdle();
 
  private:
