Let no client wait longer than its class, so that a stop answers all it took

Seen (tests/net/beliefs_test.cpp, failed): a request with d=3600000 that is out at a silent member is unanswered when a stop ends, 2.65 s after the signal: lost. Its transaction, its hold in the module and its timer would last an hour. Ruled out: the member's time-out (it is the request's), the stop's own limit (it waits for the longest of the classes). At fault: ReadCommand took any d up to 70 minutes. Change: d may shorten the class's deadline and not lengthen it; the bound of 70 minutes is gone with its constant.

--- a/src/front/client_command.cpp
+++ b/src/front/client_command.cpp
@@ -8,8 +8,6 @@
 namespace peatbend::net {
 namespace {
 
-constexpr std::int64_t kMaxWaitMs = 70 * 60 * 1000;  // the module's timers go no further
-
 bool Is(std::string_view word, std::string_view upper) {
   return std::equal(word.begin(), word.end(), upper.begin(), upper.end(), [](char x, char y) {
     return (x >= 'a' && x <= 'z' ? static_cast<char>(x - 32) : x) == y;
@@ -72,7 +70,10 @@
   if (FindFact(request->facts, "d", fact)) {
     std::int64_t ms = 0;
     if (!ParseNumber(fact, ms) || ms < 0) return Malformed("bad d");
-    request->remaining = std::chrono::milliseconds(std::min(ms, kMaxWaitMs));
+    // A client may wait for less than its class does. More would hold its request past a stop.
+    auto most = std::chrono::ceil<std::chrono::milliseconds>(request->remaining);
+    request->remaining =
+        std::min<Duration>(request->remaining, std::chrono::milliseconds(std::min(ms, most.count())));
   }
   return {Kind::kRequest, std::move(request), {}};
 }
--- a/tests/net/beliefs_test.cpp
+++ b/tests/net/beliefs_test.cpp
@@ -39,5 +39,17 @@
   CHECK(stage.router.counters().reused == 0);
 }
 
+// A class has a longest wait; a client that states a longer one cannot hold its request open for an hour, nor
+// past a stop, which waits for the longest of the classes.
+TEST_CASE("belief: a client's wait is its class's at most, so that a stop still answers it") {
+  Stage stage;
+  End& client = stage.Client(Get(kKey, "c=read,d=3600000"));
+  stage.Until([&] { return stage.member.Count("OBJ.GET") == 1; });
+  bool ended = false;
+  stage.router.Stop([&] { ended = true; });
+  stage.Until([&] { return ended; });
+  CHECK(client.got.starts_with("-BUSY"));
+}
+
 }  // namespace
 }  // namespace peatbend::net::test
--- a/tests/net/parsers_test.cpp
+++ b/tests/net/parsers_test.cpp
@@ -142,6 +142,7 @@
   settings.classes[0].name = "read";
   settings.classes[0].deadline = std::chrono::milliseconds(900);
   settings.classes[1].name = "put";
+  settings.classes[1].deadline = std::chrono::milliseconds(1200);
   settings.tenants.resize(1);
   settings.tenants[0].name = "acme";
   settings.zones = {"a", "b"};
@@ -159,6 +160,7 @@
       {{"obj.get", "k", "9b1f", "c=read,t=nobody,d=480,r=1,size=7"}, "0 -1 0 1 480"},
       {{"OBJ.GET", "k", "9b1f", "c=read"}, "0 -1 0 0 900"},
       {{"OBJ.SET", "k", "9b1f", "c=put,d=5,k=5c0f", "va\r\nlue"}, "1 -1 1 0 5"},
+      {{"OBJ.GET", "k", "9b1f", "c=read,d=99999999"}, "0 -1 0 0 900"},  // not longer than its class
       {{"ping"}, "ping"},
       {{"SELECT", "0"}, "polite"},
       {{"QUIT"}, "quit"},
