Give a try all of its client's time: half of it for the first cost more than it won

CacheTime kept half of a safe request's time for another try, where few routers share the fleet. Cause: work that ran on at the server was begun anew elsewhere. Change: the special case goes; the path of many routers, a try lasts as long as its client waits, is everybody's.

--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -57,7 +57,7 @@
 constexpr double kSmoothing = 0.15;  // of a new latency in the smoothed one
 constexpr Duration kCutApart = milliseconds(100), kFullPause = milliseconds(20);
 // Of the aim: wait for the own server before an alternate; then refused, if a late answer earns nothing;
-// usual latencies that a cache is given at least.
+// usual latencies that a cache needs at least.
 constexpr double kHoldHome = 0.25, kHoldMost = 0.6, kTimeNeeded = 1.5;
 constexpr double kHoldUnsent = 0.47;  // of its time, what no server has seen is held at most
 // Origin's limit over all proxies: first, least; a proxy: first, least, most, paced sends at once; of the
@@ -428,10 +428,10 @@
       if (hold_for < 0) hold_for = index;
       if (!HasRoom(server)) continue;
       double fill = server.in_flight / server.limit;
-      if (!hot || Sparse() || fill < kHotRoom) return SendTo(request, index, CacheTime(request, index));
+      if (!hot || Sparse() || fill < kHotRoom) return SendTo(request, index);
       if (best < 0 || fill < best_fill) std::tie(best, best_fill) = std::tie(index, fill);
     }
-    if (best >= 0) return SendTo(request, best, CacheTime(request, best));
+    if (best >= 0) return SendTo(request, best);
     if (hold_for >= 0) return Enqueue(request, hold_for);
     set_.aside ? AskOrigin(request) : End(request);
   }
@@ -446,14 +446,6 @@
            (Warmth(server) >= 1 || ColdSends(server) >= 1);
   }
 
-  // How long a cache may take: half of what is left, where that is enough and another try possible.
-  Duration CacheTime(const Request& request, int index) const {
-    Duration left = request.deadline - now_;
-    bool again = set_.classes[request.cls].effect == Effect::kSafe &&
-                 static_cast<int>(request.attempts.size()) + 1 < set_.try_limit;
-    return !Sparse() && again && left / 2 >= Nanos(kTimeNeeded * Usually(servers_[index])) ? left / 2 : left;
-  }
-
   // ---- 4. Cold servers (slow start) -------------------------------------------------------------
 
   // The part of its capacity that a server has for certain: the worst-case warm-up, a straight line
@@ -656,7 +648,7 @@
       bool origin = servers_[index].origin;
       bool usable = !origin && Usable(request, index, Hash(request));
       request.waited = request.waited || !usable;
-      usable   ? SendTo(request, index, CacheTime(request, index))
+      usable   ? SendTo(request, index)
       : origin ? AskOrigin(request)
                : ToCache(request);
     }
@@ -748,7 +740,7 @@
       if (!fresh) return JoinFetch(request, at->second);
       request.fetching = true;
     }
-    if (HasRoom(servers_[origin_])) return SendTo(request, origin_, request.deadline - now_);
+    if (HasRoom(servers_[origin_])) return SendTo(request, origin_);
     Enqueue(request, origin_);
   }
 
@@ -856,7 +848,7 @@
                         [](const Attempt& attempt) { return attempt.may_have_run; });
   }
 
-  void SendTo(Request& request, int index, Duration give_up_after) {
+  void SendTo(Request& request, int index) {
     Server& server = servers_[index];
     if (!LegalSend(request, server)) return End(request);
     request.state = State::kOut;
@@ -878,7 +870,7 @@
       server.cold_at = now_;
     }
     PumpLater(index);
-    out_->push_back(Send{request.id, ServerId{server.id}, give_up_after});
+    out_->push_back(Send{request.id, ServerId{server.id}, request.deadline - now_});
   }
 
   // Takes one place of a pace of one in `gap`, of which `burst` may come at once.
