Let the one table serve starts too: the second table of warm servers was idle

A second Maglev table of the warm servers alone was built whenever one started or became warm, for keys that a starting server had not been handed yet and for spills. Change: Candidate walks the one table by the key's steps and passes over starting servers that have not been handed the key; tables are built on changes of the list only (a hundred starts: 100 tables, up to 310 before).

--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -35,9 +35,8 @@
 constexpr double kHeatEvidence = 30, kHotSeen = 4, kHotSeenFew = 1.6;
 constexpr Duration kHeatTime = seconds(2), kHeatMost = seconds(12);
 constexpr double kHotShare = 0.3, kCopyShare = 0.6, kHomeShare = 0.5, kHotRoom = 0.5;
-// Cold servers: of the fall multiple, sends over the due part; of a tipping time's sends, at once; of the
-// fleet warm, for these alone to take what waits (else whatever was handed the key: they would be crowded).
-constexpr double kColdSlack = 0.7, kColdDepth = 0.25, kWarmEnough = 0.8;
+// Cold servers: of the fall multiple, sends over the due part; of a tipping time's sends, at once.
+constexpr double kColdSlack = 0.7, kColdDepth = 0.25;
 // Health: failures in a row that eject; first ejection, doubling; longest; of the fleet out at most (panic
 // threshold). Left alone: from this latency over the unloaded one, of the fleet at most, for how long, pause.
 constexpr int kStrikesToEject = 4;
@@ -292,7 +291,6 @@
   // Rebuilt when the membership has changed and a request needs it. Not later, though a moment may bring many
   // changes: the place of a server that has gone may be another's by then.
   void RefreshTable() {
-    if (!stale_ && now_ >= warm_changes_at_) RefreshWarm();
     if (!stale_) return;
     stale_ = false;
     ready_.clear();
@@ -304,24 +302,7 @@
     }
     told_ids_.clear();
     for (int index : ready_) told_ids_[ToldId(servers_[index])] = index;
-    all_ = BuildTable(ready_);
-    RefreshWarm();
-  }
-
-  // The second table, of the warm servers alone: rebuilt when one has started or has become warm.
-  void RefreshWarm() {
-    std::vector<int> warm;
-    TimePoint next = TimePoint::max();
-    for (int index : ready_) {
-      bool starting = Warmth(servers_[index]) < 1;
-      if (starting) next = std::min(next, servers_[index].started + set_.warm_after);
-      if (!starting) warm.push_back(index);
-    }
-    warm_changes_at_ = next;
-    warm_.clear();
-    none_starting_ = warm.size() == ready_.size();
-    bool enough = static_cast<double>(warm.size()) >= kWarmEnough * Ready();
-    if (enough && !none_starting_) warm_ = BuildTable(warm);
+    table_ = BuildTable(ready_);
   }
 
   Table BuildTable(const std::vector<int>& indices) {
@@ -344,24 +325,17 @@
 
   // ---- 3. Choice --------------------------------------------------------------------------------
 
-  // The n-th server that a key may go to. The first is the one in its slot; where that is starting and
-  // has not yet been handed the key, the one in the slot of the warm servers' table, which had it
-  // before. The others follow by steps over the warm servers' slots, so that nothing spills onto a
-  // starting server. The same at every proxy of a zone.
+  // The n-th server that a key may go to. The first is the one in its slot, the others follow by steps over
+  // the slots. One that is starting and has not yet been handed the key is stepped over, so that nothing
+  // spills onto it. The same at every proxy of a zone.
   int Candidate(std::uint64_t hash, std::size_t n) const {
-    std::uint32_t slot = static_cast<std::uint32_t>(hash % kTableSize);
-    if (none_starting_ && n == 0) return all_[slot];
+    std::uint64_t slot = hash % kTableSize, step = Mix(hash ^ 3) % (kTableSize - 1) + 1;
     double threshold = Unit(Mix(hash));
-    if (n == 0 && Warmth(servers_[all_[slot]]) > threshold) return all_[slot];
-    std::uint64_t step = Mix(hash ^ 3) % (kTableSize - 1) + 1;
-    if (!none_starting_ && n > 0) --n;
-    slot = static_cast<std::uint32_t>((slot + n * step) % kTableSize);
-    if (none_starting_ || !warm_.empty()) return (none_starting_ ? all_ : warm_)[slot];
-    for (std::size_t i = 1; i <= kMaxCopies; ++i) {  // few are warm: one that was handed the key
-      int index = all_[Mix(hash ^ (n * kMaxCopies + i)) % kTableSize];
-      if (Warmth(servers_[index]) > threshold) return index;
+    for (std::size_t i = 0; i < kMaxProbes * kMaxCopies; ++i) {
+      int index = table_[(slot + i * step) % kTableSize];
+      if (Warmth(servers_[index]) > threshold && n-- == 0) return index;
     }
-    return all_[slot];
+    return table_[slot];  // all are starting
   }
 
   double Rate() const { return std::max(0.05, taken_lately_.Now(now_, kRateTime) / Seen()); }
@@ -1016,9 +990,8 @@
   std::vector<int> free_, ready_;  // places of servers that were let go; cache servers, sorted by id
   std::map<std::string, int, std::less<>> by_id_;  // sorted: the table's order
   int origin_ = -1;
-  Table all_, warm_;  // of the ready servers; of the warm ones, where some are not
-  bool stale_ = true, none_starting_ = true;
-  TimePoint warm_changes_at_ = TimePoint::max();
+  Table table_;  // of the ready servers
+  bool stale_ = true;
 
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   std::map<Key, std::vector<RequestId>> fetches_;    // keys being fetched, and who waits for them
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -658,7 +658,7 @@
 }
 
 // Each threshold's servers were once a table of their own, a hundred starts long.
-TEST(Membership, ALongSeriesOfStartsBuildsTwoTablesAChange) {
+TEST(Membership, ALongSeriesOfStartsBuildsOneTableAChange) {
   Proxy proxy;
   auto list = Fleet(100);
   proxy.List(list);
@@ -672,8 +672,7 @@
       proxy.Answer(id, Result::kGood);
     }
   }
-  EXPECT_LE(proxy.balancer.tables_built(), 310u);  // one of all and one of the warm ones; one when warm
-  EXPECT_GE(proxy.balancer.tables_built(), 101u);
+  EXPECT_EQ(proxy.balancer.tables_built(), 100u);  // the first list and the first start came before a request
 }
 
 TEST(Settings, NonsenseIsNamed) {
