Take out messages between routers: no site at hand carries them

Tell, PeerEvent, the heat of keys told and the trouble told of servers ran only where the settings carry messages. The wire still takes MESSAGE and passes it over. The two tests of the mechanism went with it; a server's rest by its own latency stays, with its tests.

--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -82,7 +82,6 @@
   double over_share_worth = 1;  // worth of a request beyond its tenant's share
   bool worth_by_work = false;   // worth is counted per unit of work
   int try_limit = 1;            // attempts per request
-  bool peers = false;           // messages between proxies are carried
   bool may_cancel = false;
   bool second_copies = false;  // two attempts of a safe request may be out at once
   bool retry_after = false;    // clients may be told how long to hold off
@@ -176,16 +175,12 @@
   RequestId id{};
 };
 
-struct PeerEvent {  // a message from another proxy of this tier
-  std::span<const std::uint32_t> words;
-};
-
 struct TimerEvent {
   TimerMark mark{};
 };
 
-using Event = std::variant<MembershipEvent, RequestEvent, OutcomeEvent, StreamStartEvent, GoneEvent,
-                           PeerEvent, TimerEvent>;
+using Event =
+    std::variant<MembershipEvent, RequestEvent, OutcomeEvent, StreamStartEvent, GoneEvent, TimerEvent>;
 
 // ---- Actions ------------------------------------------------------------------------------------
 
@@ -210,9 +205,6 @@
   Duration in{};
 };
 struct Subscribe {};
-struct Tell {  // a message to every other proxy of this tier; at most 64 words, and may be lost
-  std::vector<std::uint32_t> words;
-};
 struct Release {  // close the idle connections to this server
   ServerId server;
 };
@@ -220,7 +212,7 @@
   std::string text;
 };
 
-using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Subscribe, Tell, Release, Log>;
+using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Subscribe, Release, Log>;
 
 // ---- The balancer -------------------------------------------------------------------------------
 
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -68,14 +68,6 @@
   } else if (std::holds_alternative<Subscribe>(action)) {
     start("KEEP_INFORMED");
     out.append(" want=1");
-  } else if (const auto* tell = std::get_if<Tell>(&action)) {
-    start("POST");
-    out.append(" neighbourId=* data=");
-    constexpr std::string_view kHex = "0123456789abcdef";
-    for (std::uint32_t word : tell->words) {
-      for (int shift = 28; shift >= 0; shift -= 4) out.push_back(kHex[word >> shift & 15]);
-    }
-    if (tell->words.empty()) out.push_back('-');
   } else if (const auto* release = std::get_if<Release>(&action)) {
     start("RELEASE");
     out.append(" node=").append(release->server.name);
@@ -302,16 +294,7 @@
     Deliver(fields.Instance(), event, reply);
   } else if (name == "HALT") {
     instances_.erase(fields.Instance());
-  } else if (name == "MESSAGE") {
-    std::vector<std::uint32_t> words;
-    std::string_view hex = fields.Text("data");
-    for (std::size_t at = 0; hex != "-" && at < hex.size(); at += 8) {
-      std::uint32_t word = 0;
-      if (!ParseNumber(hex.substr(at, 8), word, 16)) Bad("hex digits", hex);
-      words.push_back(word);
-    }
-    Deliver(fields.Instance(), PeerEvent{words}, reply);
-  } else if (name != "SAMPLED") {  // probes are not sent
+  } else if (name != "SAMPLED" && name != "MESSAGE") {  // neither probes nor messages are sent
     Bad("a known event", name);
   }
 }
--- a/src/lab/virtual_run.cpp
+++ b/src/lab/virtual_run.cpp
@@ -72,7 +72,6 @@
   void Do(const SetTimer& timer);
   void Do(const Subscribe&);
   void Do(const Release& release);
-  void Do(const Tell&) {}
   void Do(const Log&) {}
   void Tell(Scope scope, const std::vector<Listing>& listings);
   void Carry(const AttemptPtr& attempt);
--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -43,13 +43,6 @@
 constexpr Duration kEjectFor = seconds(1), kEjectAtMost = seconds(8);
 constexpr double kEjectShare = 0.4, kRestMultiple = 9, kRestShare = 0.25;
 constexpr Duration kRestFor = seconds(4), kRestApart = seconds(4);
-// Messages: a proxy's own of trouble apart, so many at once; keys a message, a second by all proxies; both
-// fade over; times told that make a key hot, of so many at least; signs that begin to relieve a server,
-// and wholly; latency over the unloaded one that is told.
-constexpr Duration kTellApart = milliseconds(30), kPeerTime = seconds(4), kToldTime = seconds(4);
-constexpr std::size_t kToldKeys = 4;
-constexpr double kTellBurst = 3, kToldRate = 60, kToldLeast = 2.2, kToldSure = 60;
-constexpr double kTroubleLeast = 1.5, kTroubleMost = 5, kSlowTold = 4;
 // In-flight bound of a server over all proxies: first, least (below 1 a proxy paces its sends); most here.
 // Cut: by a queue told over, a smoothed latency over the unloaded one; apart; least pause after full.
 constexpr double kFirstLimit = 8, kLeastLimit = 4, kMostLimit = 64, kQueueMost = 1, kSlowMultiple = 4;
@@ -171,7 +164,6 @@
     double base = 0;                 // origin: the least that the latency has been, creeping up
     int answers = 0;                 // origin: so many
     TimePoint cut{}, rests_until{};  // when the bound was last cut; left alone till then
-    Fading trouble{};                // told of by peers, or seen
     int strikes = 0, ejections = 0;  // failures in a row; in a row
     bool ejected = false, trial_out = false;
     TimePoint trial_at{};    // ejected: half-open from here on
@@ -300,8 +292,6 @@
       if (!servers_[index].origin) ready_.push_back(index);
       if (servers_[index].origin && origin_ < 0) origin_ = index;
     }
-    told_ids_.clear();
-    for (int index : ready_) told_ids_[ToldId(servers_[index])] = index;
     table_ = BuildTable(ready_);
   }
 
@@ -353,12 +343,6 @@
     Duration over = std::clamp(Nanos(1e9 * kHeatEvidence / Rate()), kHeatTime, kHeatMost);
     if (count) traffic_.Add(now_, over, 1);
     Count(place, hash, over, count ? 1 : 0);
-    if (Together()) {
-      if (count) TellKey(hash);
-      const auto& [key, told] = told_keys_[hash % told_keys_.size()];
-      double times = key == hash ? told.Now(now_, kToldTime) : 0;
-      return times < kToldLeast ? 0 : times / std::max(kToldSure, all_told_.Now(now_, kToldTime)) * Ready();
-    }
     double seen = place.second.count;
     if (place.first != hash || seen < (Sparse() ? kHotSeenFew : kHotSeen)) return 0;
     return (seen - (Sparse() ? 0.5 : 0)) / std::max(traffic_.count, seen) * Ready();
@@ -397,7 +381,7 @@
       if (std::find(tried_.begin(), tried_.end(), index) != tried_.end()) continue;
       tried_.push_back(index);
       const Server& server = servers_[index];
-      if (!Usable(request, index, hash)) continue;
+      if (!Usable(request, index)) continue;
       if (hold_for >= 0 && !hot && !request.waited) break;  // waits before it spills
       if (hold_for < 0) hold_for = index;
       if (!HasRoom(server)) continue;
@@ -410,13 +394,13 @@
     set_.aside ? AskOrigin(request) : End(request);
   }
 
-  bool Usable(const Request& request, int index, std::uint64_t hash) const {
+  bool Usable(const Request& request, int index) const {
     const Server& server = servers_[index];
     bool avoided = std::find(request.avoid.begin(), request.avoid.end(), index) != request.avoid.end();
     // Not ejected, or due for a half-open trial, which only a safe request may be.
     bool trial = now_ >= server.trial_at && !server.trial_out;
     bool healthy = !server.ejected || (trial && set_.classes[request.cls].effect == Effect::kSafe);
-    return !avoided && healthy && LegalSend(request, server) && !Relieved(server, hash) &&
+    return !avoided && healthy && LegalSend(request, server) && !Rests(server) &&
            (Warmth(server) >= 1 || ColdSends(server) >= 1);
   }
 
@@ -446,7 +430,6 @@
   void Strike(Server& server, int strikes) {
     server.strikes += strikes;
     if (server.origin) return;
-    TellTrouble(server);
     if (server.ejected ? server.trial_out : server.strikes >= kStrikesToEject && MayEject()) Eject(server);
   }
 
@@ -459,7 +442,7 @@
 
   // A server that has turned slow, be it overdriven or sick, is left alone for a while, so that it
   // recovers if it can; its keys stay at their alternates. Told by a latency still high at the least
-  // bound, or by peers. Could do harm where the whole fleet is slow: kRestShare bounds how many rest.
+  // bound. Could do harm where the whole fleet is slow: kRestShare bounds how many rest.
   void LeaveAlone(Server& server) {
     while (!resting_.empty() && resting_.front() <= now_) resting_.pop_front();
     bool many = static_cast<double>(resting_.size() + 1) > kRestShare * Ready();
@@ -473,53 +456,8 @@
     server.limit = 1;
   }
 
-  // Messages between proxies, where the site has them. Each proxy sees a server or a key too seldom to
-  // judge it, all of them together often enough. One word names a server that was slow or failed;
-  // several are keys of a proxy drawn for it: their share of those told is that of the traffic.
-  bool Together() const { return set_.peers && Sparse(); }
-  void On(const PeerEvent& event) {
-    for (std::uint32_t key : event.words) event.words.size() == kToldKeys ? ToldKey(key) : void();
-    if (event.words.size() != 1) return;
-    auto known = told_ids_.find(event.words[0]);
-    if (known != told_ids_.end()) Trouble(servers_[known->second]);
-  }
-  void TellKey(std::uint32_t hash) {
-    my_keys_.push_back(hash);
-    if (my_keys_.size() < kToldKeys) return;
-    if (Unit(Random()) * Rate() * set_.proxies < kToldRate) {
-      for (std::uint32_t key : my_keys_) ToldKey(key);
-      out_->push_back(Tell{my_keys_});
-    }
-    my_keys_.clear();
-  }
-  void ToldKey(std::uint32_t hash) {
-    all_told_.Add(now_, kToldTime, 1);
-    Count(told_keys_[hash % told_keys_.size()], hash, kToldTime, 1);
-  }
-  void TellTrouble(Server& server) {
-    if (!Together()) return;
-    Trouble(server);
-    if (now_ < tell_from_) return;
-    Pace(tell_from_, kTellApart * set_.proxies, kTellBurst);
-    out_->push_back(Tell{{ToldId(server)}});
-  }
-  static std::uint32_t ToldId(const Server& s) { return static_cast<std::uint32_t>(HashId(s.id, 4)); }
-
-  // A server that several proxies saw slow or failing gives a part of its keys to their alternates, the
-  // same keys at every proxy, and rests if it goes on. Guards against servers that are overdriven or have
-  // turned slow, before each proxy could know it alone; the mean part is bounded by kRestShare.
-  void Trouble(Server& server) {
-    server.trouble.Add(now_, kPeerTime, 1);
-    trouble_.Add(now_, kPeerTime, 1);
-    if (server.trouble.count >= kTroubleMost) LeaveAlone(server);
-  }
-  bool Relieved(const Server& server, std::uint64_t hash) const {
-    if (now_ < server.rests_until) return Sparse();  // few proxies: ejected, until an answer tells otherwise
-    double trouble = server.trouble.Now(now_, kPeerTime) - kTroubleLeast;
-    if (trouble <= 0) return false;
-    double mean = trouble_.Now(now_, kPeerTime) / kTroubleMost / Ready();
-    return Unit(Mix(hash ^ 5)) < std::min(1.0, trouble / kTroubleMost) * std::min(1.0, kRestShare / mean);
-  }
+  // Few proxies: ejected meanwhile, until an answer tells otherwise.
+  bool Rests(const Server& server) const { return Sparse() && now_ < server.rests_until; }
 
   void Eject(Server& server) {
     if (!server.ejected) Say("ejected " + server.id);
@@ -620,11 +558,9 @@
       Request& request = requests_.at(std::get<3>(*servers_[index].queue.begin()));
       Unqueue(request);
       bool origin = servers_[index].origin;
-      bool usable = !origin && Usable(request, index, Hash(request));
+      bool usable = !origin && Usable(request, index);
       request.waited = request.waited || !usable;
-      usable   ? SendTo(request, index)
-      : origin ? AskOrigin(request)
-               : ToCache(request);
+      usable ? SendTo(request, index) : origin ? AskOrigin(request) : ToCache(request);
     }
   }
 
@@ -651,7 +587,6 @@
         server.ejected = server.trial_out = false;
         if (server.origin) return ObserveOrigin(server, was_full);
         answered_.Add(now_, kRateTime, 1);
-        if (Unloaded(server) > 0 && elapsed > kSlowTold * Unloaded(server)) TellTrouble(server);
         RefreshLatency(server);
         if (server.latency > kSlowMultiple * Unloaded(server) || event.load.queued.value_or(0) > kQueueMost) {
           Cut(server, 0.85);
@@ -995,13 +930,10 @@
 
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   std::map<Key, std::vector<RequestId>> fetches_;    // keys being fetched, and who waits for them
-  std::vector<Place> heat_{1024}, told_keys_{1024};  // seen here; told by other proxies
-  Fading traffic_, taken_lately_, answered_, trouble_, all_told_;
-  TimePoint tell_from_{};
-  std::map<std::uint32_t, int> told_ids_;  // ready servers by the hash that messages name them with
+  std::vector<Place> heat_{1024};                    // of the heaviest keys
+  Fading traffic_, taken_lately_, answered_;
   std::deque<TimePoint> resting_, taken_;  // until when servers rest; requests in the allowance's window
   std::deque<std::pair<TimePoint, std::pair<RequestId, int>>> further_;  // and further attempts
-  std::vector<std::uint32_t> my_keys_;                                   // of the last requests, not yet told
   std::vector<Fading> tenants_{set_.tenants.size()};
   std::vector<int> tried_;
   std::uint64_t sequence_ = 0, mark_ = 0, tables_built_ = 0;
--- a/src/module/settings.cpp
+++ b/src/module/settings.cpp
@@ -94,7 +94,6 @@
   if (path == "overShareWorth") s.over_share_worth = Real(path, text);
   if (path == "countedBy") s.worth_by_work = text == "work";
   if (path == "ceilings.tryLimit") s.try_limit = Setting<int>(path, text);
-  if (path == "ceilings.peers") s.peers = Yes(path, text);
   if (path == "ceilings.mayCancel") s.may_cancel = Yes(path, text);
   if (path == "ceilings.secondCopies") s.second_copies = Yes(path, text);
   if (path == "ceilings.retryAfter") s.retry_after = Yes(path, text);
--- a/src/stage/decision.cpp
+++ b/src/stage/decision.cpp
@@ -19,7 +19,6 @@
 
 Settings OnSockets(Settings settings) {
   settings.must_subscribe = true;  // discovery says nothing here unless it is asked
-  settings.peers = false;          // there is no way between routers
   return settings;
 }
 
@@ -227,8 +226,6 @@
 
 void Decision::Do(const Subscribe&) { watch_pool_(); }
 
-void Decision::Do(const Tell&) { log_.Line("tell", "there is no way to other routers"); }
-
 void Decision::Do(const Release& release) { connections_.CloseIdle(release.server.name); }
 
 void Decision::Do(const peatbend::Log& line) { log_.Line("module", line.text); }
--- a/src/stage/decision.h
+++ b/src/stage/decision.h
@@ -91,7 +91,6 @@
   void Do(const Cancel& cancel);
   void Do(const SetTimer& timer);
   void Do(const Subscribe&);
-  void Do(const Tell&);
   void Do(const Release& release);
   void Do(const peatbend::Log& line);
   Transaction* Find(RequestId id);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -598,53 +598,6 @@
   EXPECT_LE(at_once, 5);
 }
 
-// Found on bris-booking-later big-1: a key of 2% of the traffic is seen once in 20 s by each proxy.
-TEST(ManyProxies, AKeyThatPeersTellOfIsSpread) {
-  Settings settings = ManyProxies();
-  settings.peers = true;
-  std::vector<std::uint32_t> message;
-  Proxy other(settings, 9);
-  other.List(Fleet(12));
-  for (unsigned id = 1; id < 500 && message.empty(); ++id) {
-    other.now += 20s;  // so little traffic that it is often drawn to tell its keys
-    for (const Tell& tell : Only<Tell>(other.Ask(id, 5))) message = tell.words;
-    other.Answer(id, Result::kGood);
-  }
-  ASSERT_FALSE(message.empty());
-  auto servers_used = [&](int told) {
-    std::set<std::string> used;
-    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-      Proxy proxy(settings, seed);
-      proxy.List(Fleet(12));
-      for (int i = 0; i < told; ++i) proxy.Take(PeerEvent{message});
-      used.insert(SentTo(proxy.Ask(1, 5)));
-    }
-    return used.size();
-  };
-  EXPECT_EQ(servers_used(0), 1u);
-  EXPECT_GE(servers_used(20), 4u);
-}
-
-TEST(ManyProxies, AServerThatPeersHaveTroubleWithIsLeftAlone) {
-  Settings settings = ManyProxies();
-  settings.peers = true;
-  Proxy proxy(settings, 3), other(settings, 4);
-  proxy.List(Fleet(12));
-  other.List(Fleet(12));
-  std::string home = SentTo(proxy.Ask(1, 5));
-  proxy.Answer(1, Result::kGood);
-  EXPECT_EQ(SentTo(other.Ask(1, 5)), home);
-  auto tells = Only<Tell>(other.Answer(1, Result::kReset));
-  ASSERT_EQ(tells.size(), 1u);
-  for (int i = 0; i < 8; ++i) proxy.Take(PeerEvent{tells[0].words});
-  EXPECT_NE(SentTo(proxy.Ask(2, 5)), home);
-  proxy.Answer(2, Result::kGood);
-  proxy.now += 60s;
-  EXPECT_EQ(SentTo(proxy.Ask(3, 5)), home);
-  std::vector<std::uint32_t> unknown{1, 2, 3};
-  proxy.Take(PeerEvent{unknown});
-}
-
 // Found on bris-booking-later overload: a bell that rang 349 ns early was taken for another's.
 TEST(Time, ATimerThatRingsALittleEarlyIsArmedAgain) {
   Proxy proxy;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -44,12 +44,11 @@
   EXPECT_DOUBLE_EQ(settings.start_capacity, 0.3);
   EXPECT_FALSE(settings.attempt_window.has_value());
   settings = ParseSettings(
-      "rules.countedOver=10000000000 rules.freeResends=1 rules.extraPerRequest=0.1 ceilings.peers=true "
+      "rules.countedOver=10000000000 rules.freeResends=1 rules.extraPerRequest=0.1 "
       "tariffs.connection=0.05 tariffs.handshake=0.03 ceilings.keepalive=5000000000");
   EXPECT_EQ(settings.attempt_window, std::chrono::seconds(10));
   EXPECT_EQ(settings.free_resends, 1);
   EXPECT_EQ(settings.extra_per_request, 0.1);
-  EXPECT_TRUE(settings.peers);
   EXPECT_DOUBLE_EQ(settings.connection_price, 0.05);
   EXPECT_DOUBLE_EQ(settings.handshake_price, 0.03);
   EXPECT_EQ(settings.keepalive, std::chrono::seconds(5));
@@ -96,13 +95,13 @@
   }
 }
 
-TEST(Wire, MessagesOfOtherProxiesAreTaken) {
+TEST(Wire, MessagesOfOtherProxiesArePassedOver) {
   Session session;
-  Feed(session, {"BEGIN_BATCH atTime=1 turn=1", kInit, "MESSAGE i=0 neighbour=2 data=0a1b2c3d",
-                 "MESSAGE i=0 neighbour=2 data=-", "END"});
-  Session other;
-  EXPECT_THROW(Feed(other, {"BEGIN_BATCH atTime=1 turn=1", kInit, "MESSAGE i=0 neighbour=2 data=xyz", "END"}),
-               WireError);
+  std::string reply =
+      Feed(session, {"BEGIN_BATCH atTime=1 turn=1", kInit, "MESSAGE i=0 neighbour=2 data=0a1b2c3d",
+                     "MESSAGE i=0 neighbour=2 data=-", "END"});
+  EXPECT_EQ(reply.find("POST"), std::string::npos);
+  EXPECT_NE(reply.find("FINISHED turn=1"), std::string::npos);
 }
 
 TEST(Wire, EachMalformedLineIsNamedByNumber) {
@@ -153,8 +152,6 @@
   EXPECT_EQ(line(SetTimer{TimerMark{4}, Duration(9)}), "NOTIFY_ME i=5 mark=4 in=9\n");
   EXPECT_EQ(line(Subscribe{}), "KEEP_INFORMED i=5 want=1\n");
   EXPECT_EQ(line(Release{{"n"}}), "RELEASE i=5 node=n\n");
-  EXPECT_EQ(line(Tell{{0x0a1b2c3d, 4}}), "POST i=5 neighbourId=* data=0a1b2c3d00000004\n");
-  EXPECT_EQ(line(Tell{}), "POST i=5 neighbourId=* data=-\n");
   EXPECT_EQ(line(Log{"a b"}), "SAY_LOG i=5 text=a b\n");
 }
 
