Tell who waits for another's fetch while there is time to ask again

Seen (a new test of the module, failed): a read that waits for a fetch of its key, and that no server has seen, was told to ask again two ticks before its deadline: a hold that ends in giving up, against the operators' term. Ruled out: Enqueue, which holds for a server or the origin, and answers such a read before half of its time. At fault: JoinFetch, which held until deadline - 2 ticks whatever had happened to the request.

--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -514,23 +514,28 @@
     return server.in_flight < std::max(1.0, server.limit * Warmth(server)) && now_ >= server.not_before;
   }
 
-  // Holds a request for a server without room; the most worth goes first when there is some.
-  void Enqueue(Request& request, int index) {
+  // Until when a request may be held for a server, or for another's fetch from it.
+  TimePoint HeldUntil(const Request& request, const Server& server) const {
     const ClassSettings& cls = set_.classes[request.cls];
     TimePoint latest = request.deadline - 2 * set_.tick;
     if (cls.late_share <= 0) latest = std::min(latest, request.arrived + Scale(cls.aim, kHoldMost));
     // What would be sent too late to be answered is not sent: it would only time out.
-    double needs = servers_[index].origin ? servers_[index].base : kTimeNeeded * Usually(servers_[index]);
+    double needs = server.origin ? server.base : kTimeNeeded * Usually(server);
     latest = std::min(latest, request.deadline - Nanos(needs));
     // Nor does a client wait in vain for what no server has seen: it is told while it can still ask again.
     bool unsent = std::none_of(request.attempts.begin(), request.attempts.end(),
                                [](const Attempt& attempt) { return attempt.reached; });
-    if (unsent) {
-      latest = std::min(latest, request.arrived + Scale(request.deadline - request.arrived, kHoldUnsent));
-    }
+    Duration half = Scale(request.deadline - request.arrived, kHoldUnsent);
+    return unsent ? std::min(latest, request.arrived + half) : latest;
+  }
+
+  // Holds a request for a server without room; the most worth goes first when there is some.
+  void Enqueue(Request& request, int index) {
+    TimePoint latest = HeldUntil(request, servers_[index]);
     if (now_ >= latest) return End(request);
     bool cache = !servers_[index].origin && !request.waited;
-    Hold(request, cache ? std::min(latest, now_ + Scale(cls.aim, kHoldHome)) : latest);
+    Duration home = Scale(set_.classes[request.cls].aim, kHoldHome);
+    Hold(request, cache ? std::min(latest, now_ + home) : latest);
     request.state = State::kQueued;
     request.queued_at = index;
     request.queued = ++sequence_;
@@ -654,9 +659,11 @@
   }
 
   void JoinFetch(Request& request, std::vector<RequestId>& waiting) {
+    TimePoint latest = HeldUntil(request, servers_[origin_]);
+    if (now_ >= latest) return End(request);
     waiting.push_back(request.id);
     request.state = State::kWaitsForFetch;
-    Hold(request, request.deadline - 2 * set_.tick);
+    Hold(request, latest);
   }
 
   // A key's fetch has ended: those that wait read it from the cache or, if it did not come, fetch it.
@@ -695,7 +702,8 @@
     taken_lately_.Add(now_, kRateTime, 1);
     if (set_.attempt_window) taken_.push_back(now_);
     if (set_.aside && request.write) return AskOrigin(request);
-    if (set_.aside && request.keyed) {
+    RefreshTable();
+    if (set_.aside && request.keyed && origin_ >= 0) {
       auto fetch = fetches_.find(request.key);
       if (fetch != fetches_.end()) return JoinFetch(request, fetch->second);
     }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -350,6 +350,17 @@
 
 // Found on viveros big-2: reads held for the origin until they were late timed out there, and each
 // time-out cut the limit.
+// Found by the review: it was held until two ticks before its deadline, and then told to ask again.
+TEST(Origin, AWaiterForAFetchIsToldWhileItCanStillAskAgain) {
+  Proxy proxy;
+  proxy.List(Fleet(2));
+  proxy.Ask(1, 5);
+  ASSERT_EQ(SentTo(proxy.Answer(1, Result::kMiss)), "origin");
+  TimePoint asked = proxy.now;
+  ASSERT_EQ(SentTo(proxy.Ask(2, 5)), "");
+  while (Only<Refuse>(proxy.Tick(5ms)).empty()) ASSERT_LT(proxy.now - asked, 500ms);
+}
+
 TEST(Origin, AReadIsNotHeldSoLongThatItCannotBeAnswered) {
   Proxy proxy;
   proxy.List(Fleet(3));
@@ -387,8 +398,8 @@
   EXPECT_LE(sent, 3);
 }
 
-// Found on the operators' crowd day: a router's first answer from the origin after its restart came in 5 ms, all others in
-// 40; the base was that one, and the limit stayed at the least for the rest of the day.
+// Found on the operators' crowd day: a router's first answer from the origin after its restart came in 5 ms,
+// all others in 40; the base was that one, and the limit stayed at the least for the rest of the day.
 TEST(Origin, OneQuickAnswerAtTheStartDoesNotHoldItsLimitDown) {
   Proxy proxy;
   proxy.List(Fleet(3));
