Take out the resting of slow servers: bounds and ejection already do it

A server whose latency stood at nine times the unloaded one at its least bound was left alone for 4 s. Change: LeaveAlone, its queue of rests and four constants are gone; avoided() needs no time any more.

--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -232,8 +232,8 @@
   void Handle(TimePoint now, const Event& event, std::vector<Action>& actions);
   // Maglev tables built so far, for tests and tools: what a change of the list costs.
   std::uint64_t tables_built() const;
-  // Listed cache servers that get nothing at this time: draining, ejected or left alone.
-  std::size_t avoided(TimePoint now) const;
+  // Listed cache servers that get nothing now: draining or ejected.
+  std::size_t avoided() const;
 
  private:
   class Brain;
--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -38,11 +38,10 @@
 // Cold servers: of the fall multiple, sends over the due part; of a tipping time's sends, at once.
 constexpr double kColdSlack = 0.7, kColdDepth = 0.25;
 // Health: failures in a row that eject; first ejection, doubling; longest; of the fleet out at most (panic
-// threshold). Left alone: from this latency over the unloaded one, of the fleet at most, for how long, pause.
+// threshold).
 constexpr int kStrikesToEject = 4;
 constexpr Duration kEjectFor = seconds(1), kEjectAtMost = seconds(8);
-constexpr double kEjectShare = 0.4, kRestMultiple = 9, kRestShare = 0.25;
-constexpr Duration kRestFor = seconds(4), kRestApart = seconds(4);
+constexpr double kEjectShare = 0.4;
 // In-flight bound of a server over all proxies: first, least (below 1 a proxy paces its sends); most here.
 // Cut: by a queue told over, a smoothed latency over the unloaded one; apart; least pause after full.
 constexpr double kFirstLimit = 8, kLeastLimit = 4, kMostLimit = 64, kQueueMost = 1, kSlowMultiple = 4;
@@ -119,10 +118,10 @@
 
   std::uint64_t tables_built() const { return tables_built_; }
 
-  std::size_t avoided(TimePoint now) const {
+  std::size_t avoided() const {
     return static_cast<std::size_t>(std::count_if(by_id_.begin(), by_id_.end(), [&](const auto& entry) {
       const Server& server = servers_[entry.second];
-      bool out = server.listed == Listed::kDraining || server.ejected || now < server.rests_until;
+      bool out = server.listed == Listed::kDraining || server.ejected;
       return !server.origin && server.listed != Listed::kGone && out;
     }));
   }
@@ -163,7 +162,7 @@
     double limit = 1, latency = 0;   // in-flight bound; smoothed, ns, 0: none yet
     double base = 0;                 // origin: the least that the latency has been, creeping up
     int answers = 0;                 // origin: so many
-    TimePoint cut{}, rests_until{};  // when the bound was last cut; left alone till then
+    TimePoint cut{};                 // when the bound was last cut
     int strikes = 0, ejections = 0;  // failures in a row; in a row
     bool ejected = false, trial_out = false;
     TimePoint trial_at{};    // ejected: half-open from here on
@@ -400,7 +399,7 @@
     // Not ejected, or due for a half-open trial, which only a safe request may be.
     bool trial = now_ >= server.trial_at && !server.trial_out;
     bool healthy = !server.ejected || (trial && set_.classes[request.cls].effect == Effect::kSafe);
-    return !avoided && healthy && LegalSend(request, server) && !Rests(server) &&
+    return !avoided && healthy && LegalSend(request, server) &&
            (Warmth(server) >= 1 || ColdSends(server) >= 1);
   }
 
@@ -440,25 +439,6 @@
   }
   double Ready() const { return static_cast<double>(ready_.size()); }
 
-  // A server that has turned slow, be it overdriven or sick, is left alone for a while, so that it
-  // recovers if it can; its keys stay at their alternates. Told by a latency still high at the least
-  // bound. Could do harm where the whole fleet is slow: kRestShare bounds how many rest.
-  void LeaveAlone(Server& server) {
-    while (!resting_.empty() && resting_.front() <= now_) resting_.pop_front();
-    bool many = static_cast<double>(resting_.size() + 1) > kRestShare * Ready();
-    if (many || now_ < server.rests_until + (Sparse() ? Duration{} : kRestApart)) return;
-    server.rests_until = now_ + kRestFor;
-    Say("left alone " + server.id);
-    if (!Sparse()) Eject(server);  // then a half-open trial
-    server.trial_at = server.rests_until;
-    resting_.push_back(server.rests_until);
-    server.latency = Unloaded(server);
-    server.limit = 1;
-  }
-
-  // Few proxies: ejected meanwhile, until an answer tells otherwise.
-  bool Rests(const Server& server) const { return Sparse() && now_ < server.rests_until; }
-
   void Eject(Server& server) {
     if (!server.ejected) Say("ejected " + server.id);
     server.ejected = true;
@@ -595,8 +575,6 @@
         RefreshLatency(server);
         if (server.latency > kSlowMultiple * Unloaded(server) || event.load.queued.value_or(0) > kQueueMost) {
           Cut(server, 0.85);
-          if (server.latency > kRestMultiple * Unloaded(server) && server.limit <= LeastLimit())
-            LeaveAlone(server);
         } else if (was_full) {
           server.limit = std::min(kMostLimit, server.limit + (server.limit < 1 ? 0.25 : 1 / server.limit));
         }
@@ -940,7 +918,7 @@
   std::map<Key, std::vector<RequestId>> fetches_;    // keys being fetched, and who waits for them
   std::vector<Place> heat_{1024};                    // of the heaviest keys
   Fading traffic_, taken_lately_, answered_;
-  std::deque<TimePoint> resting_, taken_;  // until when servers rest; requests in the allowance's window
+  std::deque<TimePoint> taken_;                                          // requests in the allowance's window
   std::deque<std::pair<TimePoint, std::pair<RequestId, int>>> further_;  // and further attempts
   std::vector<Fading> tenants_{set_.tenants.size()};
   std::vector<int> tried_;
@@ -963,7 +941,7 @@
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
 std::uint64_t Balancer::tables_built() const { return brain_->tables_built(); }
-std::size_t Balancer::avoided(TimePoint now) const { return brain_->avoided(now); }
+std::size_t Balancer::avoided() const { return brain_->avoided(); }
 void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
   brain_->Handle(now, event, actions);
 }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -181,7 +181,7 @@
     return !running_.settings.aside || one.second.entry.kind != running_.settings.origin_kind;
   };
   add("targets", static_cast<std::uint64_t>(std::ranges::count_if(pool_.held(), cached)));
-  add("targets_disabled", decision_.balancer().avoided(clock_.Now()));
+  add("targets_disabled", decision_.balancer().avoided());
   return text;
 }
 
