Give each tenant a repeat budget, spent only on what can be sent again

Seen (two new tests of the module, both failed): after 200 requests of one tenant with deadlines of 5 ms, or all of whose attempts fail, the cut-off read of another tenant is refused at once instead of sent again; 100 unsafe writes that failed, and may not be repeated, do the same. Ruled out: tries, deadlines and ejection (the read has all its time, five other servers serve); the attempt allowance (not set). At fault: Settle took a repeat off the one budget of all before the gate had said whether any may be sent; one budget for all.

--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -57,7 +57,7 @@
 constexpr int kOriginFirstAnswers = 4;  // that the base follows
 constexpr double kOriginMost = 128, kOriginBurst = 3, kFirstLatency = 0.2;
 constexpr double kOriginSlow = 3, kOriginCalm = 1.7, kOriginCreep = 1.0005;
-// Retry budget: a request's part; its cap over all proxies, and between these.
+// Retry budget of a tenant: a request's part; cap of all tenants' over all proxies, and between these.
 constexpr double kRetryPerRequest = 0.2, kRetryMost = 160, kRetryHigh = 20, kRetryLow = 2;
 constexpr double kHoldWorth = 0.5;    // open connections' price over new ones' from which none is kept
 constexpr double kTenantSlack = 1.3;  // of a tenant's even part that counts as within its share
@@ -183,6 +183,7 @@
     Key key{};
     bool keyed = false, write = false;  // names a key; is one
     int cls = 0;
+    std::size_t tenant = 0;
     double value = 1;
     TimePoint arrived{}, deadline{};
     State state = State::kOut;
@@ -673,10 +674,13 @@
     request.key = event.key.value_or(Key{});
     request.write = event.write;
     request.cls = event.cls;
-    request.value = Value(event);
     request.arrived = now_;
     request.deadline = now_ + event.remaining;
-    retry_budget_ = std::min(retry_most_, retry_budget_ + kRetryPerRequest);
+    bool named = event.tenant >= 0 && event.tenant < static_cast<int>(tenants_.size());
+    request.tenant = named ? static_cast<std::size_t>(event.tenant) : tenants_.size();
+    request.value = Value(event, request.tenant);
+    double& budget = retry_budgets_[request.tenant];
+    budget = std::min(RetryMost(), budget + kRetryPerRequest);
     taken_lately_.Add(now_, kRateTime, 1);
     if (set_.attempt_window) taken_.push_back(now_);
     if (set_.aside && request.write) return AskOrigin(request);
@@ -688,15 +692,20 @@
     ToCache(request);
   }
 
+  double RetryMost() const {
+    double all = std::clamp(kRetryMost / set_.proxies, kRetryLow, kRetryHigh);
+    return std::max(1.0, all / std::max<double>(1, static_cast<double>(tenants_.size())));
+  }
+
   // Worth per work where requests tell theirs and worth does not grow with it; a tenant's excess counts less.
-  double Value(const RequestEvent& event) {
+  double Value(const RequestEvent& event, std::size_t tenant) {
     double value = set_.classes[event.cls].worth;
     bool per_work = !set_.worth_by_work && event.work_hint > Duration::zero();
     if (per_work) value /= std::max(1e6, Ns(event.work_hint));
-    if (event.tenant < 0 || event.tenant >= static_cast<int>(tenants_.size())) return value;
-    double rate = set_.tenants[event.tenant].allowance_per_s * kTenantSlack / set_.proxies;
+    if (tenant == tenants_.size()) return value;
+    double rate = set_.tenants[tenant].allowance_per_s * kTenantSlack / set_.proxies;
     if (rate <= 0) return value;
-    Fading& used = tenants_[event.tenant];
+    Fading& used = tenants_[tenant];
     used.Add(now_, kHeatTime, 1);
     bool over = used.count > rate * Ns(kHeatTime) / 1e9 + 2;
     return over ? value * set_.over_share_worth : value;
@@ -717,17 +726,24 @@
                set_.extra_per_request.value_or(0) * static_cast<double>(taken_.size());
   }
 
+  // Whether any further attempt may be sent, whatever the server.
+  bool MayGoOn(const Request& request) const {
+    const ClassSettings& cls = set_.classes[request.cls];
+    if (request.streaming || request.deadline - now_ <= Duration::zero()) return false;
+    if (static_cast<int>(request.attempts.size()) >= set_.try_limit || !Allowed(request)) return false;
+    return std::none_of(request.attempts.begin(), request.attempts.end(), [&](const Attempt& attempt) {
+      if (attempt.open && (!set_.second_copies || cls.effect != Effect::kSafe)) return true;
+      if (!attempt.may_have_run || cls.effect == Effect::kSafe) return false;
+      return cls.effect == Effect::kUnsafe || now_ - attempt.sent + set_.tick >= cls.window;
+    });
+  }
+
   // The gate: whether an attempt may be sent. Every send passes it.
   bool LegalSend(const Request& request, const Server& server) const {
     const ClassSettings& cls = set_.classes[request.cls];
-    if (server.listed != Listed::kReady || request.streaming) return false;
-    if (request.deadline - now_ <= Duration::zero()) return false;
-    if (static_cast<int>(request.attempts.size()) >= set_.try_limit || !Allowed(request)) return false;
+    if (server.listed != Listed::kReady || !MayGoOn(request)) return false;
     for (const Attempt& attempt : request.attempts) {
-      if (attempt.open && (!set_.second_copies || cls.effect != Effect::kSafe)) return false;
       if (!attempt.may_have_run || cls.effect == Effect::kSafe) continue;
-      if (cls.effect == Effect::kUnsafe) return false;
-      if (now_ - attempt.sent + set_.tick >= cls.window) return false;
       bool other_zone = attempt.zone != server.zone, other_cell = attempt.cell != server.cell;
       if (cls.group == Group::kZone ? other_zone : cls.group == Group::kCell && other_cell) return false;
     }
@@ -828,19 +844,24 @@
                            event.result != Result::kNeverSent && event.result != Result::kMiss;
     bool at_origin = index >= 0 && servers_[index].origin;
     if (event.done) return Drop(request, event.result == Result::kGood && at_origin);
-    if (event.result == Result::kMiss) {
-      request.free_send = true;
-      return AskOrigin(request);
-    }
+    request.free_send = event.result == Result::kMiss;
+    if (!MayGoOn(request)) return End(request);
+    if (event.result == Result::kMiss) return AskOrigin(request);
     if (event.result == Result::kFull && !at_origin) return AfterFull(request, index);
     bool free = !attempt.may_have_run && event.attempt == 0;
-    if (!free && retry_budget_ < 1) return End(request);
-    if (!free) retry_budget_ -= 1;
+    if (!free && !Repeat(request)) return End(request);
     if (at_origin) return AskOrigin(request);
     request.avoid.push_back(index);
     ToCache(request);
   }
 
+  // Takes one repeat off its tenant's budget. Guards against storms of repeats, and a tenant whose requests
+  // fail against none but itself.
+  bool Repeat(const Request& request) {
+    double& budget = retry_budgets_[request.tenant];
+    return budget >= 1 && (budget -= 1, true);
+  }
+
   // Turned away by a full server: waits for it a little, once; then an alternate, or a refusal.
   // Guards against storms of cheap retries that spread a full server's keys over the fleet.
   void AfterFull(Request& request, int index) {
@@ -848,8 +869,7 @@
       return Enqueue(request, index);
     }
     if (Sparse() && set_.aside) return AskOrigin(request);
-    if (retry_budget_ < 1) return End(request);
-    retry_budget_ -= 1;
+    if (!Repeat(request)) return End(request);
     request.waited = true;
     request.avoid.push_back(index);
     ToCache(request);
@@ -923,8 +943,8 @@
   std::vector<Fading> tenants_{set_.tenants.size()};
   std::vector<int> tried_;
   std::uint64_t sequence_ = 0, mark_ = 0, tables_built_ = 0;
-  double retry_most_ = std::clamp(kRetryMost / set_.proxies, kRetryLow, kRetryHigh),
-         retry_budget_ = retry_most_;
+  std::vector<double> retry_budgets_ =
+      std::vector<double>(tenants_.size() + 1, RetryMost());  // the last: unnamed
   std::map<int, Latency> zones_;
 
   using Due = std::pair<TimePoint, RequestId>;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -345,6 +345,49 @@
 
 // Found on viveros big-2: reads held for the origin until they were late timed out there, and each
 // time-out cut the limit.
+// A tenant whose deadlines are of a few ms, or all of whose requests fail, and its neighbour, one of whose
+// requests is cut off: it is sent again.
+TEST(Tenants, OneThatFailsTakesNoRepeatsFromAnother) {
+  for (Result how : {Result::kLate, Result::kReset}) {
+    Settings settings = BasicSettings();
+    settings.tenants = {{"short", 0.5, 0}, {"neighbour", 0.5, 0}};
+    Proxy proxy(settings);
+    proxy.List(Fleet(6));
+    auto ask = [&](unsigned id, int tenant, Duration remaining) {
+      RequestEvent event;
+      event.id = RequestId{id};
+      event.key = Key{id};
+      event.tenant = tenant;
+      event.remaining = remaining;
+      return proxy.Take(event);
+    };
+    for (unsigned id = 1; id <= 200; ++id) {
+      proxy.now += 1ms;
+      ask(id, 0, how == Result::kLate ? 5ms : 1s);
+      TimePoint before = proxy.now;
+      if (how == Result::kLate) proxy.now += 5ms;
+      for (int i = 0; i < 4 && proxy.attempts[RequestId{id}] > i; ++i)
+        proxy.Answer(id, how, proxy.now - before);
+    }
+    proxy.now += 10s;  // what was ejected has its trial
+    std::string first = SentTo(ask(1000, 1, 1s));
+    ASSERT_NE(first, "");
+    EXPECT_NE(SentTo(proxy.Answer(1000, Result::kReset, 1ms)), "");
+  }
+}
+
+// Nor is the budget spent on what cannot be sent again, by nobody's fault but its own short time.
+TEST(Tenants, WhatCannotBeSentAgainSpendsNothing) {
+  Proxy proxy;
+  proxy.List(Fleet(6));
+  for (unsigned id = 1; id <= 100; ++id) {
+    proxy.Ask(id, id, kUnsafeWrite);
+    proxy.Answer(id, Result::kBad);
+  }
+  ASSERT_NE(SentTo(proxy.Ask(1000, 7)), "");
+  EXPECT_NE(SentTo(proxy.Answer(1000, Result::kReset)), "");
+}
+
 // Found by the review: it was held until two ticks before its deadline, and then told to ask again.
 TEST(Origin, AWaiterForAFetchIsToldWhileItCanStillAskAgain) {
   Proxy proxy;
