Let who has the most time left take over a shared fetch that did not come

Seen (a new test of the module, failed): of a fetch's waiters the one that had waited longest took over when the first asker's time ran out, though its own was short too; a long one behind it waited for each to fail in turn, and the origin carried each fetch for nothing. Ruled out: leaving clients (EndFetch is called for them too, and has the same order). At fault: EndFetch, which woke waiters in the order in which they had come. Change: waiters are woken by their deadlines, the latest first; the first of them fetches, the others join it.

--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -652,6 +652,12 @@
     auto at = fetches_.find(request.key);
     std::vector<RequestId> waiting = std::move(at->second);
     fetches_.erase(at);
+    // If it did not come, who has the most time left fetches it: those with little would each fail in turn.
+    auto until = [this](RequestId id) {
+      auto found = requests_.find(id);
+      return found == requests_.end() ? TimePoint{} : found->second.deadline;
+    };
+    std::ranges::stable_sort(waiting, std::ranges::greater(), until);
     for (RequestId id : waiting) {
       auto found = requests_.find(id);
       if (found == requests_.end() || found->second.state != State::kWaitsForFetch) continue;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -345,6 +345,20 @@
 
 // Found on viveros big-2: reads held for the origin until they were late timed out there, and each
 // time-out cut the limit.
+// Found by the review: of two short ones and a long one, the second short one had the next turn.
+TEST(Origin, AFetchThatRanOutOfTimeIsTakenOverByWhoHasTheMostLeft) {
+  Proxy proxy;
+  proxy.List(Fleet(2));
+  proxy.Ask(1, 5, kRead, 50ms);
+  proxy.Answer(1, Result::kMiss);
+  proxy.Ask(2, 5, kRead, 400ms);
+  proxy.Ask(3, 5, kRead, 1s);
+  proxy.now += 50ms;
+  auto sends = Only<Send>(proxy.Answer(1, Result::kLate, 50ms));
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_EQ(sends[0].id, RequestId{3});
+}
+
 // A tenant whose deadlines are of a few ms, or all of whose requests fail, and its neighbour, one of whose
 // requests is cut off: it is sent again.
 TEST(Tenants, OneThatFailsTakesNoRepeatsFromAnother) {
