Let no client that reads nothing run ahead by more than there is memory for

Seen (a new test on sockets, failed): six clients that ask for 128 values of 60,000 bytes each and read none were served 40.3 MB by a router of 16 MB. Ruled out: large values (booked, and the member waits), half-sent commands (their own bound), the 128 answers that a client may run ahead (it held: it is too many where answers are of 64 KiB). At fault: ClientSession::Crowded, which counts answers whatever their size, and Flush, which booked only large ones. Change: what waits to be taken is booked whatever its size; past eight answers a client runs ahead only as far as its answers, taken at 64 KiB, fit into what is free. One that reads goes on at once.

--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -25,6 +25,7 @@
     return *this;
   }
   ~Booking() { Set(0); }
+  std::size_t size() const { return size_; }
   // Books `size` in all, whether there is room or not.
   void Set(std::size_t size) {
     if (budget_ != nullptr) budget_->held = budget_->held - size_ + size;
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -8,6 +8,7 @@
 
 namespace peatbend::net {
 namespace {
+constexpr std::size_t kFreeAhead = 8;          // answers that a client may run ahead, memory or not
 constexpr std::size_t kMostMoved = 32 * 1024;  // bytes of a begun command that move to another process
 constexpr std::size_t kLeastUnsent = 32 * 1024,
                       kMostUnsent = 256 * 1024;  // of a large answer, then the member waits
@@ -55,7 +56,9 @@
 }
 
 bool ClientSession::Crowded() const {
-  return owed_.size() >= static_cast<std::size_t>(tuning_.owed) ||
+  // Nor does a client who reads nothing run ahead by more than there is memory for.
+  bool dear = owed_.size() >= kFreeAhead && owed_.size() * resp::kMaxValue > home_.memory().free();
+  return dear || owed_.size() >= static_cast<std::size_t>(tuning_.owed) ||
          evbuffer_get_length(bufferevent_get_output(socket_.get())) >=
              static_cast<std::size_t>(tuning_.unsent_kb) * 1024;
 }
@@ -245,9 +248,7 @@
   Owed& owed = At(place);
   evbuffer_add_buffer(owed.answer.get(), bytes);
   Flush();
-  std::size_t waits = Unsent();
-  memory_.Set(waits);
-  if (waits < std::clamp(home_.memory().free() / 8, kLeastUnsent, kMostUnsent)) return true;
+  if (memory_.size() < std::clamp(home_.memory().free() / 8, kLeastUnsent, kMostUnsent)) return true;
   owed.value = Owed::Value::kWaits;
   return false;
 }
@@ -263,8 +264,7 @@
   }
   if (whole) {
     Append(owed.answer.get(), "\r\n");
-    Flush();
-    return memory_.Set(Unsent());
+    return Flush();
   }
   Failed(place);
 }
@@ -291,7 +291,7 @@
     owed_.pop_front();
     ++first_;
   }
-  if (!out || evbuffer_get_length(out.get()) == 0) return;
+  if (!out || evbuffer_get_length(out.get()) == 0) return memory_.Set(Unsent());
   quiet_since_ = clock_.Now();
   // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
   bool waits = !owed_.empty() && owed_.front().value == Owed::Value::kWaits;
@@ -302,6 +302,7 @@
   } else {
     WriteNow(socket_.get(), out.get());
   }
+  memory_.Set(Unsent());
 }
 
 void ClientSession::Written() {  // all that was to be written is
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -133,7 +133,7 @@
   TimePoint begun_ = TimePoint::max();        // a command that is not whole yet began to arrive; max: none
   TimePoint turned_away_ = TimePoint::max();  // its -ERR was written
   bool last_call_ = false;
-  Booking memory_;  // for what waits of large answers
+  Booking memory_;  // for answers that have not been taken
   BuffereventPtr socket_;
 };
 
--- a/tests/net/large_value_test.cpp
+++ b/tests/net/large_value_test.cpp
@@ -125,6 +125,33 @@
   CHECK(stage.router.counters().Sum(&Counters::OfClass::served) == 0);
 }
 
+// Within the protocol: hundreds of commands at once, whose answers nobody reads. 16 MB here.
+TEST_CASE("clients that ask by hundreds and read nothing hold little, and others are served") {
+  const std::string value(60000, 'v');
+  Stage stage(
+      [&](End& end) {
+        for (; !end.got.empty() && end.got.ends_with("\r\n"); end.got.clear()) end.Say(Value(value));
+      },
+      {}, "", 1024, 16);
+  for (int client = 0; client < 6; ++client) {
+    std::string text;
+    for (int i = 0; i < 128; ++i) text += Get(std::to_string(100000 + client * 1000 + i), "c=read,d=1900");
+    Deaf(stage, text);
+    const Counters& counts = stage.router.counters();
+    std::uint64_t before = counts.transactions;
+    stage.Until([&] {  // all that it was let to ask is answered
+      using Class = Counters::OfClass;
+      std::uint64_t answered =
+          counts.Sum(&Class::served) + counts.Sum(&Class::rejected) + counts.Sum(&Class::failed);
+      return counts.transactions >= before + 4 && counts.transactions == answered;
+    });
+  }
+  // Some of it is with the sockets.
+  CHECK(stage.router.counters().Sum(&Counters::OfClass::served) * value.size() < 24 * 1024 * 1024);
+  CHECK(stage.router.memory().held < 8 * 1024 * 1024);
+  CHECK(stage.Ask(Get("100", "c=read,d=1900")) == Bulk(value));
+}
+
 TEST_CASE("a slow reader gets its value whole, behind another answer too") {
   const std::string value = Large(kMost);
   Stage stage([&](End& end) {
