Take signals while the running process is asked; test starts without Unix sockets

Seen (tests/net/program.sh, failed): while a starting process asks a predecessor that hangs (up to 2 s), SIGHUP and SIGTERM have their default effect: SIGHUP ends it, and SIGTERM ends it with a signal. Ruled out: the time after (Reload and Stop pass over what comes twice or crosses), a stale file (refused, renamed over), Unix sockets refused (logged; it serves). At fault: Serve, which set its handlers after AskPredecessor. Change: handlers are set first; libevent keeps what comes until the loop runs. The test also holds SIGHUP and a second SIGTERM after a stop, the door's file removed at the end, and, with a small library that refuses Unix sockets, a start that serves.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <optional>
 
 #include "base/event_handles.h"
 #include "config/config.h"
@@ -37,6 +38,14 @@
   EventBasePtr base = NewEventBase();
   if (!base) throw std::runtime_error("no event loop");
 
+  // Signals first: they are taken while the running process is asked, and carried out once there is a router.
+  std::optional<Router> router;
+  auto stop = [&] { router->Stop([&] { event_base_loopbreak(base.get()); }); };
+  Signal on_term(base.get(), SIGTERM, stop);
+  Signal on_interrupt(base.get(), SIGINT, stop);
+  Signal on_hangup(base.get(), SIGHUP, [&] { router->Reload([&] { return Load(own); }); });
+  Signal on_usr1(base.get(), SIGUSR1, [&] { router->PrintCounters(); });
+
   const char* tmpdir = std::getenv("TMPDIR");
   std::string door = handover::PathFor(tmpdir, config.listen);
   std::optional<handover::Inheritance> inherited;
@@ -46,14 +55,9 @@
                    why.data());
     });
   }
-  Router router(base.get(), config, std::move(inherited), door);
-  auto stop = [&] { router.Stop([&] { event_base_loopbreak(base.get()); }); };
-  Signal on_term(base.get(), SIGTERM, stop);
-  Signal on_interrupt(base.get(), SIGINT, stop);
-  Signal on_hangup(base.get(), SIGHUP, [&] { router.Reload([&] { return Load(own); }); });
-  Signal on_usr1(base.get(), SIGUSR1, [&] { router.PrintCounters(); });
+  router.emplace(base.get(), config, std::move(inherited), door);
   event_base_dispatch(base.get());
-  router.PrintCounters();
+  router->PrintCounters();
   return 0;
 }
 
--- a/tests/net/program.sh
+++ b/tests/net/program.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The program itself, given as $1: a faulty configuration ends it with the key's name; a sound one starts it,
+# The program itself, given as $1 (and as $2 a library that refuses Unix sockets): a faulty configuration ends it with the key's name; a sound one starts it,
 # SIGUSR1 prints the counters, SIGHUP reads the file again, and SIGTERM ends it with 0 and the counters once more.
 set -eu
 program=$1
@@ -74,3 +74,53 @@
 wait "$pid" || fail "the exit was not 0"
 grep -q 'stopping: 0 transactions open' "$folder/log" || fail "no word of the stop"
 [ "$(grep -c 'counters: clients_accepted' "$folder/log")" -eq 2 ] || fail "no counters at the exit"
+
+# A stale file at the door, and a process there that says nothing: a start goes on, and a signal that comes while
+# it asks is carried out once it serves. SIGHUP and SIGTERM twice after a stop change nothing.
+"$program" 2>"$folder/log" & # on a free port, which is used again below
+pid=$!
+await 'start: listening on' 1
+sockets=$(ls -l "/proc/$pid/fd" | sed -n 's/.*socket:\[\([0-9]*\)\].*/\1/p' | tr '\n' ' ')
+port=$(awk -v own=" $sockets" '$4 == "0A" && index(own, " " $10 " ") { sub(".*:", "", $2); print $2 }' /proc/net/tcp)
+kill -TERM "$pid"
+wait "$pid" || fail "the exit was not 0"
+export TMPDIR="$folder" BALANCER_LISTEN="127.0.0.1:$((0x$port))"
+echo '{"discovery":"127.0.0.1:9",'"$settings}" >"$BALANCER_CONFIG"
+"$program" 2>"$folder/log" &
+old=$!
+await 'start: listening on' 1
+ls "$folder"/peatbend-*.handover >/dev/null || fail "no door"
+kill -STOP "$old"
+"$program" 2>"$folder/log" &
+pid=$!
+turns=0
+until grep -q 'SigCgt:.*4[0-9a-f][0-9a-f]3$' /proc/$pid/status; do
+  turns=$((turns + 1))
+  [ "$turns" -lt 400 ] || fail "no signal is taken"
+  sleep 0.01
+done
+if grep -q 'does not answer' "$folder/log"; then fail "signals end it while it asks"; fi
+kill -HUP "$pid"
+await 'handover: the running process does not answer' 1
+await 'reload: discovery stays' 1
+kill -TERM "$pid"
+kill -TERM "$pid"
+kill -HUP "$pid"
+wait "$pid" || fail "the exit was not 0"
+kill -KILL "$old"
+wait "$old" && fail "a kill is no exit"
+: >"$folder/peatbend-$BALANCER_LISTEN.handover"
+"$program" 2>"$folder/log" &
+pid=$!
+await 'start: listening on' 1
+kill -TERM "$pid"
+wait "$pid" || fail "the exit was not 0"
+[ -z "$(ls "$folder" | grep handover || true)" ] || fail "a file is left at the door"
+
+# Where the system refuses Unix sockets it serves all the same.
+LD_PRELOAD="$2" ASAN_OPTIONS=verify_asan_link_order=0 "$program" 2>"$folder/log" &
+pid=$!
+await 'start: listening on' 1
+grep -q 'handover: cannot wait at' "$folder/log" || fail "no word of the door that cannot be had"
+kill -TERM "$pid"
+wait "$pid" || fail "the exit was not 0"
