Take a client's own short time for no sign of the server it was spent on

Seen (a new test of the module, failed; and the router's log beside a tenant with deadlines of 5 ms): two healthy servers are ejected, for each time-out is a strike, and the trial that would bring one back is such a request again. Ruled out: the servers (they answer in 20 ms throughout), the network, the neighbours' own time-outs (none). At fault: Observe, which took any time-out for a strike and cut the bound, however short the time was.

--- a/src/module/balance.cpp
+++ b/src/module/balance.cpp
@@ -586,6 +586,11 @@
         server.trial_out = false;
         return;
       case Result::kLate:
+        // A client whose time was too short even for an idle server: no sign of how this one does.
+        if (!server.origin && elapsed < kTimeNeeded * Unloaded(server)) {
+          server.trial_out = false;
+          return;
+        }
         if (server.origin && Sparse()) server.latency += kSmoothing * (elapsed - server.latency);
         if (!server.origin || elapsed > kOriginSlow * server.base) Cut(server, 0.7);
         return Strike(server, 1);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -259,6 +259,22 @@
 
 // Found on wallet big-1 and viveros big-2: a server that has turned slow stays so while it is
 // loaded.
+// Found with clients whose deadlines are of 5 ms: each time-out struck a healthy server, until it was
+// ejected, and its trial was one of them again.
+TEST(Health, AClientsShortTimeIsNoSignOfAServer) {
+  Proxy proxy;
+  proxy.List(Fleet(6));
+  unsigned id = 0;
+  for (; id < 300; ++id) {
+    proxy.now += 20ms;
+    proxy.Ask(id, id, kRead, id < 100 ? 1s : 5ms);
+    proxy.now += id < 100 ? 20ms : 5ms;
+    id < 100 ? proxy.Answer(id, Result::kGood, 20ms) : proxy.Answer(id, Result::kLate, 5ms);
+  }
+  EXPECT_EQ(proxy.balancer.avoided(), 0u);
+  for (const Action& action : proxy.all) EXPECT_EQ(std::get_if<Log>(&action), nullptr);
+}
+
 TEST(Health, AServerThatTurnsSlowIsHeldAtItsLeastBound) {
   auto sent_at_once = [](Duration takes) {
     Proxy proxy;
