--- /dev/null
+++ b/tests/orders/open_test.cpp
@@ -0,0 +1,91 @@
+// Findings of docs/review-findings.md that are not mended. Each test states what should hold and is expected
+// to fail; when it passes, doctest says so, and the finding can be closed.
+#include <algorithm>
+#include <variant>
+
+#include "doctest/doctest.h"
+#include "peatbend/balancer.h"
+
+namespace peatbend {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One class of reads, one of writes; a cache server and the origin.
+struct Small {
+  Settings set = [] {
+    Settings settings;
+    settings.classes.resize(2);
+    for (ClassSettings& cls : settings.classes) {
+      cls.aim = milliseconds(500);
+      cls.deadline = milliseconds(1000);
+    }
+    settings.aside = true;
+    settings.origin_kind = 1;
+    settings.try_limit = 4;
+    settings.start_capacity = 0.14;
+    settings.warm_after = std::chrono::seconds(24);
+    settings.fall_multiple = 3;
+    settings.tip_after = std::chrono::seconds(2);
+    settings.tick = milliseconds(5);
+    return settings;
+  }();
+  Balancer balancer{set, 7};
+  TimePoint now{std::chrono::seconds(100)};
+  std::vector<Action> did;
+
+  void Take(const Event& event) {
+    did.clear();
+    balancer.Handle(now, event, did);
+  }
+  void List(Scope scope, const std::vector<ServerEntry>& entries) { Take(MembershipEvent{scope, entries}); }
+  static ServerEntry Entry(const std::string& name, TimePoint started = {}) {
+    ServerEntry entry;
+    entry.id = {name};
+    entry.kind = name == "origin" ? 1 : 0;
+    entry.started = started;
+    return entry;
+  }
+  // So many sends as it led to.
+  std::size_t Ask(unsigned id, bool write, Duration remaining) {
+    RequestEvent event;
+    event.id = RequestId{id};
+    event.key = Key{id};
+    event.cls = write ? 1 : 0;
+    event.write = write;
+    event.remaining = remaining;
+    Take(event);
+    return static_cast<std::size_t>(std::count_if(
+        did.begin(), did.end(), [](const Action& action) { return std::holds_alternative<Send>(action); }));
+  }
+};
+
+// F13. The warm-up is the cache servers'; nobody says that the origin has one.
+TEST_CASE("open: an origin that has just started takes as many as it will a moment later" *
+          doctest::should_fail()) {
+  Small small;
+  small.List(Scope::kFull, {Small::Entry("box"), Small::Entry("origin", small.now)});
+  std::size_t sent = 0;
+  for (unsigned id = 1; id <= 6; ++id) sent += small.Ask(id, true, milliseconds(900));
+  CHECK(sent == 6);
+}
+
+// F15. What no server has ever answered in is too short: told at once, it costs nobody's work.
+TEST_CASE("open: a request whose time is too short for any server is not sent" * doctest::should_fail()) {
+  Small small;
+  small.List(Scope::kFull, {Small::Entry("box"), Small::Entry("origin")});
+  for (unsigned id = 1; id <= 100; ++id) {
+    REQUIRE(small.Ask(id, false, milliseconds(900)) == 1);
+    small.now += milliseconds(30);
+    OutcomeEvent good;
+    good.id = RequestId{id};
+    good.server = "box";
+    good.elapsed = milliseconds(30);
+    good.done = true;
+    small.Take(good);
+  }
+  CHECK(small.Ask(1000, false, milliseconds(5)) == 0);
+}
+
+}  // namespace
+}  // namespace peatbend
