Add membership among routers, with a deterministic twin of a whole fleet

Need: work in hand and drains across the fleet both stand on routers that know who is there. Nothing of it is used by the router yet. Change: src/peers holds the decisions after SWIM and Lifeguard (suspicion, indirect probes, confirmations, local health), free of I/O and clocks, and messages in MessagePack by nlohmann/json with a guard against depth; src/twin runs them on simulated links and clocks. Each start, and each process taken for dead wrongly, has a life of its own; a life that has ended never comes back. A process that stood still treats its beliefs as old; StandingAt is what later parts ask. Ruled out on the way: a schedule that never ended (a due time in the past where the process was no member).

--- /dev/null
+++ b/src/peers/message.cpp
@@ -0,0 +1,149 @@
+#include "peers/message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace peatbend::peers {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kDeepest = 3;  // message, records, record
+
+// Ends the reading of what is nested deeper than any message, before it costs stack.
+class DepthGuard : public nlohmann::json_sax<json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= kDeepest; }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return depth_-- > 0; }
+  bool start_array(std::size_t) override { return ++depth_ <= kDeepest; }
+  bool end_array() override { return depth_-- > 0; }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  int depth_ = 0;
+};
+
+json::binary_t Bytes(const std::string& text) { return json::binary_t({text.begin(), text.end()}); }
+
+json ToJson(const Record& r) {
+  return json::array({r.name, r.life, r.birth, r.claim, static_cast<unsigned>(r.state), r.by, r.address,
+                      r.zone, r.version, r.serves, json::binary(Bytes(r.note))});
+}
+
+// Takes the fields of an array one after another; fails once and for all at the first that does not fit.
+class Fields {
+ public:
+  explicit Fields(const json& array) : array_(array), fine_(array.is_array()) {}
+  template <typename T>
+  Fields& Number(T& into, std::uint64_t most) {
+    const json* at = Next();
+    if (at == nullptr || !at->is_number_unsigned() || at->get<std::uint64_t>() > most) return Fail();
+    into = static_cast<T>(at->get<std::uint64_t>());
+    return *this;
+  }
+  Fields& Flag(bool& into) {
+    const json* at = Next();
+    if (at == nullptr || !at->is_boolean()) return Fail();
+    into = at->get<bool>();
+    return *this;
+  }
+  Fields& Text(std::string& into, std::size_t most) {
+    const json* at = Next();
+    if (at == nullptr || !at->is_string()) return Fail();
+    const auto& text = at->get_ref<const std::string&>();
+    if (text.size() > most) return Fail();
+    into = text;
+    return *this;
+  }
+  Fields& Blob(std::string& into, std::size_t most) {
+    const json* at = Next();
+    if (at == nullptr || !at->is_binary() || at->get_binary().size() > most) return Fail();
+    into.assign(at->get_binary().begin(), at->get_binary().end());
+    return *this;
+  }
+  const json* Next() {
+    if (!fine_ || place_ >= array_.size()) return nullptr;
+    return &array_[place_++];
+  }
+  bool fine() const { return fine_; }
+
+ private:
+  Fields& Fail() {
+    fine_ = false;
+    return *this;
+  }
+  const json& array_;
+  std::size_t place_ = 0;
+  bool fine_;
+};
+
+constexpr std::uint64_t kAny = ~std::uint64_t{0};
+
+bool Read(const json& from, Record& r) {
+  Fields fields(from);
+  fields.Text(r.name, kMostName).Number(r.life, kAny).Number(r.birth, kAny).Number(r.claim, 0xffffffffu);
+  fields.Number(r.state, static_cast<std::uint64_t>(State::kLeft)).Text(r.by, kMostName);
+  fields.Text(r.address, kMostName).Text(r.zone, kMostName).Text(r.version, kMostName);
+  fields.Text(r.serves, kMostName).Blob(r.note, kMostNote);
+  return fields.fine() && !r.name.empty() && !r.address.empty();
+}
+
+}  // namespace
+
+std::string Encode(const Message& m) {
+  json records = json::array();
+  for (const Record& record : m.records) records.push_back(ToJson(record));
+  json array =
+      json::array({kVersion, kVersion, m.fleet, static_cast<unsigned>(m.kind), m.from, m.reply, m.life,
+                   m.birth, m.number, m.probe, m.digest, m.member, static_cast<unsigned>(m.you), m.target,
+                   m.target_address, m.target_life, std::move(records)});
+  std::string bytes;
+  json::to_msgpack(array, bytes);
+  return bytes;
+}
+
+std::size_t SizeOf(const Record& r) {
+  return 42 + r.name.size() + r.by.size() + r.address.size() + r.zone.size() + r.version.size() +
+         r.serves.size() + r.note.size();
+}
+
+Fault Decode(std::string_view bytes, std::size_t most, std::string_view fleet, Message& m) {
+  if (bytes.size() > most) return Fault::kOversized;
+  DepthGuard guard;
+  if (!json::sax_parse(bytes, &guard, json::input_format_t::msgpack)) return Fault::kMalformed;
+  json array = json::from_msgpack(bytes, true, false);
+  if (array.is_discarded()) return Fault::kMalformed;
+  Fields fields(array);
+  unsigned version = 0, least = 0;
+  std::string its_fleet;
+  fields.Number(version, 0xffff).Number(least, 0xffff).Text(its_fleet, kMostName);
+  if (!fields.fine()) return Fault::kMalformed;
+  if (its_fleet != fleet) return Fault::kFleet;
+  if (least > static_cast<unsigned>(kVersion)) return Fault::kVersion;
+  m = {};
+  m.fleet = its_fleet;
+  fields.Number(m.kind, static_cast<std::uint64_t>(Kind::kTable))
+      .Text(m.from, kMostName)
+      .Text(m.reply, kMostName);
+  fields.Number(m.life, kAny).Number(m.birth, kAny).Number(m.number, kAny).Number(m.probe, kAny);
+  fields.Number(m.digest, kAny).Flag(m.member).Number(m.you, static_cast<std::uint64_t>(You::kGone));
+  fields.Text(m.target, kMostName).Text(m.target_address, kMostName).Number(m.target_life, kAny);
+  const json* records = fields.Next();
+  if (!fields.fine() || m.from.empty() || m.reply.empty()) return Fault::kMalformed;
+  if (records == nullptr || !records->is_array() || records->size() > kMostRecords) return Fault::kMalformed;
+  for (const json& one : *records) {
+    if (!Read(one, m.records.emplace_back())) return Fault::kMalformed;
+  }
+  return Fault::kNone;
+}
+
+}  // namespace peatbend::peers
