Let routers of a fleet see each other: sockets, [peers] keys, DUMP, peatbend peers

Need: membership was decisions alone. Now a router takes part where [peers] names a fleet and an address; without it nothing is made: no socket, no timer. Change: src/peers/peer_sockets (datagrams, bounded streams), src/peers/peers (driven by the loop on CLOCK_BOOTTIME), keys with checks (refused where the platform's settings say ceilings.peers=false), figures in DUMP and on SIGUSR1, PEERS at the operators' address and the command peatbend peers. A stop tells the fleet; in an upgrade the old process leaves and the new one takes the address. The table of keys is written out anew: a formatter had torn it apart.

--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -27,6 +27,8 @@
   virtual std::string Join() = 0;
   // Whole lines, one a figure.
   virtual std::string Figures() = 0;
+  // What it knows of its fleet: a line of JSON, or one that begins with "fail".
+  virtual std::string Peers() = 0;
 };
 
 // The answer to one line, its end included.
--- a/src/base/tuning.h
+++ b/src/base/tuning.h
@@ -59,6 +59,11 @@
     Milliseconds slack{100};           // beyond the longest deadline
     bool operator==(const Stop&) const = default;
   } stop;
+  struct Peers {  // see docs/peers.md
+    Milliseconds probe{200}, timeout{100}, gossip{100};
+    Milliseconds suspicion_least{700}, suspicion_most{1400}, stall{400};
+    bool operator==(const Peers&) const = default;
+  } peers;
   bool operator==(const Tuning&) const = default;
 };
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -106,6 +106,30 @@
   }
 }
 
+void ReadPeers(const json& own, Config& config) {
+  if (own.is_null()) return;
+  auto text = [&own](const char* key) { return own.value(key, std::string()); };
+  config.peers.fleet = text("fleet");
+  config.peers.listen = text("listen");
+  config.peers.advertise = own.value("advertise", config.peers.listen);
+  config.peers.seeds = own.value("seeds", std::vector<std::string>());
+  if (config.peers.listen.empty())
+    throw ConfigError("peers.listen: missing, though other keys of [peers] are set");
+  if (config.peers.fleet.empty() || config.peers.fleet.size() > 64)
+    throw ConfigError("peers.fleet: the fleet's name expected, of up to 64 bytes");
+  CheckAddress("peers.listen", config.peers.listen);
+  CheckAddress("peers.advertise", config.peers.advertise);
+  if (config.peers.advertise.starts_with("0.0.0.0:"))
+    throw ConfigError("peers.advertise: needed where peers.listen is 0.0.0.0");
+  for (const std::string& seed : config.peers.seeds) CheckAddress("peers.seeds", seed);
+  if (config.name.empty() || config.name.size() > 64)
+    throw ConfigError("name: of 1 to 64 bytes expected where [peers] is set");
+  const net::Tuning::Peers& times = config.tuning.peers;
+  if (times.timeout >= times.probe) throw ConfigError("peers.timeout_ms: less than peers.probe_ms expected");
+  if (times.suspicion_least > times.suspicion_most)
+    throw ConfigError("peers.suspicion_least_ms: at most peers.suspicion_most_ms expected");
+}
+
 }  // namespace
 
 ConfigError::ConfigError(std::vector<std::string> faults)
@@ -154,6 +178,11 @@
     attempt("settings.", [&] { Apply(config.settings, told ? *settings : own.deployment, ""); });
     if (faults.size() == before) attempt("", [&] { CheckSettings(config.settings); });
   }
+  attempt("", [&] { ReadPeers(own.peers, config); });
+  const json* barred = told && settings->contains("ceilings") ? &(*settings)["ceilings"] : nullptr;
+  if (!config.peers.listen.empty() && barred != nullptr && barred->is_object() &&
+      !barred->value("peers", true))
+    faults.emplace_back("peers: this deployment bars talk among routers (settings.ceilings.peers is false)");
   auto known = root.find("known");
   if (known != root.end() && !known->is_null()) {
     attempt("known.", [&] { config.known = net::ReadPoolList(*known, config.settings); });
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -36,6 +36,11 @@
   net::PoolList known;
   net::Tuning tuning;
   Settings settings;
+  struct Peers {  // off where `listen` is empty
+    std::string fleet, listen, advertise;
+    std::vector<std::string> seeds;
+    bool operator==(const Peers&) const = default;
+  } peers;
 };
 
 struct ConfigText {
--- a/src/config/file.cpp
+++ b/src/config/file.cpp
@@ -32,9 +32,12 @@
  public:
   FileReader(const std::string& name, std::vector<std::string>& faults) : name_(name), faults_(faults) {
     for (const TuningKey& key : TuningKeys()) known_.emplace_back(key.name);
-    for (const char* key : {"name", "listen", "discovery", "admin", "seed", "cores", "memory_mb", "sockets"}) {
+    for (const char* key :
+         {"name", "listen", "discovery", "admin", "seed", "cores", "memory_mb", "sockets"}) {
       known_.push_back(std::string("router.") + key);
     }
+    for (const char* key : {"fleet", "listen", "advertise", "seeds"})
+      known_.push_back(std::string("peers.") + key);
     for (std::string_view path : DeploymentPaths()) known_.push_back("deployment." + std::string(path));
   }
 
@@ -67,6 +70,9 @@
       return Fault(node, key, "not known; the nearest known name is " + Nearest(pattern, known_));
     }
     if (pattern.starts_with("router.")) return Router(node, key);
+    bool tuning =
+        std::ranges::any_of(TuningKeys(), [&](const TuningKey& one) { return one.name == pattern; });
+    if (pattern.starts_with("peers.") && !tuning) return Peers(node, key);
     if (pattern.starts_with("deployment.")) return Deployment(node, key, pattern);
     for (const TuningKey& one : TuningKeys()) {
       if (one.name != pattern) continue;
@@ -118,6 +124,24 @@
     (limit ? file_.router["limits"][name] : file_.router[name]) = std::move(*value);
   }
 
+  // Checked in ReadConfig, together with what they need of each other.
+  void Peers(const toml::node& node, const std::string& key) {
+    std::string name = key.substr(key.find('.') + 1);
+    if (name == "seeds") {
+      const toml::array* array = node.as_array();
+      json seeds = json::array();
+      bool texts =
+          array != nullptr && std::ranges::all_of(*array, [](const auto& one) { return one.is_string(); });
+      if (!texts) return Fault(node, key, "a list of ADDRESS:PORT expected");
+      for (auto&& one : *array) seeds.push_back(*one.value_exact<std::string>());
+      file_.peers[name] = std::move(seeds);
+    } else if (auto text = node.value_exact<std::string>()) {
+      file_.peers[name] = *text;
+    } else {
+      Fault(node, key, "a string expected");
+    }
+  }
+
   void Deployment(const toml::node& node, const std::string& key, const std::string& pattern) {
     std::string_view path = std::string_view(pattern).substr(pattern.find('.') + 1);
     json value;
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -11,113 +11,53 @@
 
 using net::Tuning;
 
-const TuningKey kKeys[] = {{"log.format", Word{{"text", "json"}, [](Tuning& t) -> auto& {return t.log.format;
-}  // namespace
-}  // namespace peatbend
-}
-, {"log.lines_of_a_kind", WholeNumber{1, 100000, [](Tuning& t) -> auto& {return t.log.lines_of_a_kind;
-}
-}
-}
-, {"log.window_ms", Time{100, 3600000, [](Tuning& t) -> auto& {return t.log.window;
-}
-}
-}
-, {"clients.share", Share{[](Tuning & t) -> auto& {return t.clients.share;
-}
-}
-}
-, {"clients.backlog", WholeNumber{1, 65535, [](Tuning& t) -> auto& {return t.clients.backlog;
-}
-}
-}
-, {"clients.accept_pause_ms", Time{1, 10000, [](Tuning& t) -> auto& {return t.clients.accept_pause;
-}
-}
-}
-, {"clients.first_command_ms", Time{10, 600000, [](Tuning& t) -> auto& {return t.clients.first_command;
-}
-}
-}
-, {"clients.command_ms", Time{10, 600000, [](Tuning& t) -> auto& {return t.clients.command;
-}
-}
-}
-, {"clients.linger_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.clients.linger;
-}
-}
-}
-, {"clients.idle_ms", Time{10, 86400000, [](Tuning& t) -> auto& {return t.clients.idle;
-}
-}
-}
-, {"clients.unread_ms", Time{100, 600000, [](Tuning& t) -> auto& {return t.clients.unread;
-}
-}
-}
-, {"clients.owed", WholeNumber{1, 65536, [](Tuning& t) -> auto& {return t.clients.owed;
-}
-}
-}
-, {"clients.unsent_kb", WholeNumber{64, 65536, [](Tuning& t) -> auto& {return t.clients.unsent_kb;
-}
-}
-}
-, {"clients.crowded_share", Share{[](Tuning & t) -> auto& {return t.clients.crowded_share;
-}
-}
-}
-, {"clients.held_share", Share{[](Tuning & t) -> auto& {return t.clients.held_share;
-}
-}
-}
-, {"clients.silent_in_crowd_ms", Time{10, 600000, [](Tuning& t) -> auto& {return t.clients.silent_in_crowd;
-}
-}
-}
-, {"clients.about_to_ask_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.clients.about_to_ask;
-}
-}
-}
-, {"members.idle_share", Share{[](Tuning & t) -> auto& {return t.members.idle_share;
-}
-}
-}
-, {"members.settle_ms", Time{0, 1000, [](Tuning& t) -> auto& {return t.members.settle;
-}
-}
-}
-, {"members.dial_timeout_ms", Time{1, 60000, [](Tuning& t) -> auto& {return t.members.dial_timeout;
-}
-}
-}
-, {"members.keepalive_ms", Time{10, 86400000, [](Tuning& t) -> auto& {return t.members.keepalive;
-}
-}
-}
-, {"pool.silence_ms", Time{100, 600000, [](Tuning& t) -> auto& {return t.pool.silence;
-}
-}
-}
-, {"pool.line_kb", WholeNumber{4, 65536, [](Tuning& t) -> auto& {return t.pool.line_kb;
-}
-}
-}
-, {"memory.unread_share", Share{[](Tuning & t) -> auto& {return t.memory.unread_share;
-}
-}
-}
-, {"stop.keep_listening_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.stop.keep_listening;
-}
-}
-}
-, {"stop.slack_ms", Time{0, 60000, [](Tuning& t) -> auto& {return t.stop.slack;
-}
-}
-}
-,
-}
-;
+const TuningKey kKeys[] = {
+    {"log.format", Word{{"text", "json"}, [](Tuning& t) -> std::string& { return t.log.format; }}},
+    {"log.lines_of_a_kind",
+     WholeNumber{1, 100000, [](Tuning& t) -> std::int64_t& { return t.log.lines_of_a_kind; }}},
+    {"log.window_ms", Time{100, 3600000, [](Tuning& t) -> net::Milliseconds& { return t.log.window; }}},
+    {"clients.share", Share{[](Tuning& t) -> double& { return t.clients.share; }}},
+    {"clients.backlog", WholeNumber{1, 65535, [](Tuning& t) -> std::int64_t& { return t.clients.backlog; }}},
+    {"clients.accept_pause_ms",
+     Time{1, 10000, [](Tuning& t) -> net::Milliseconds& { return t.clients.accept_pause; }}},
+    {"clients.first_command_ms",
+     Time{10, 600000, [](Tuning& t) -> net::Milliseconds& { return t.clients.first_command; }}},
+    {"clients.command_ms",
+     Time{10, 600000, [](Tuning& t) -> net::Milliseconds& { return t.clients.command; }}},
+    {"clients.linger_ms", Time{0, 60000, [](Tuning& t) -> net::Milliseconds& { return t.clients.linger; }}},
+    {"clients.idle_ms", Time{10, 86400000, [](Tuning& t) -> net::Milliseconds& { return t.clients.idle; }}},
+    {"clients.unread_ms",
+     Time{100, 600000, [](Tuning& t) -> net::Milliseconds& { return t.clients.unread; }}},
+    {"clients.owed", WholeNumber{1, 65536, [](Tuning& t) -> std::int64_t& { return t.clients.owed; }}},
+    {"clients.unsent_kb",
+     WholeNumber{64, 65536, [](Tuning& t) -> std::int64_t& { return t.clients.unsent_kb; }}},
+    {"clients.crowded_share", Share{[](Tuning& t) -> double& { return t.clients.crowded_share; }}},
+    {"clients.held_share", Share{[](Tuning& t) -> double& { return t.clients.held_share; }}},
+    {"clients.silent_in_crowd_ms",
+     Time{10, 600000, [](Tuning& t) -> net::Milliseconds& { return t.clients.silent_in_crowd; }}},
+    {"clients.about_to_ask_ms",
+     Time{0, 60000, [](Tuning& t) -> net::Milliseconds& { return t.clients.about_to_ask; }}},
+    {"members.idle_share", Share{[](Tuning& t) -> double& { return t.members.idle_share; }}},
+    {"members.settle_ms", Time{0, 1000, [](Tuning& t) -> net::Milliseconds& { return t.members.settle; }}},
+    {"members.dial_timeout_ms",
+     Time{1, 60000, [](Tuning& t) -> net::Milliseconds& { return t.members.dial_timeout; }}},
+    {"members.keepalive_ms",
+     Time{10, 86400000, [](Tuning& t) -> net::Milliseconds& { return t.members.keepalive; }}},
+    {"pool.silence_ms", Time{100, 600000, [](Tuning& t) -> net::Milliseconds& { return t.pool.silence; }}},
+    {"pool.line_kb", WholeNumber{4, 65536, [](Tuning& t) -> std::int64_t& { return t.pool.line_kb; }}},
+    {"memory.unread_share", Share{[](Tuning& t) -> double& { return t.memory.unread_share; }}},
+    {"stop.keep_listening_ms",
+     Time{0, 60000, [](Tuning& t) -> net::Milliseconds& { return t.stop.keep_listening; }}},
+    {"stop.slack_ms", Time{0, 60000, [](Tuning& t) -> net::Milliseconds& { return t.stop.slack; }}},
+    {"peers.probe_ms", Time{20, 60000, [](Tuning& t) -> net::Milliseconds& { return t.peers.probe; }}},
+    {"peers.timeout_ms", Time{5, 30000, [](Tuning& t) -> net::Milliseconds& { return t.peers.timeout; }}},
+    {"peers.gossip_ms", Time{10, 60000, [](Tuning& t) -> net::Milliseconds& { return t.peers.gossip; }}},
+    {"peers.suspicion_least_ms",
+     Time{50, 600000, [](Tuning& t) -> net::Milliseconds& { return t.peers.suspicion_least; }}},
+    {"peers.suspicion_most_ms",
+     Time{50, 600000, [](Tuning& t) -> net::Milliseconds& { return t.peers.suspicion_most; }}},
+    {"peers.stall_ms", Time{150, 600000, [](Tuning& t) -> net::Milliseconds& { return t.peers.stall; }}},
+};
 
 constexpr std::string_view kDeployment[] = {"classes.*.name",
                                             "classes.*.objective",
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include <exception>
 #include <optional>
 
+#include "admin/ask.h"
 #include "base/event_handles.h"
 #include "config/config.h"
 #include "router/router.h"
@@ -77,6 +78,17 @@
   }
 }
 
+// What a running router sees of its fleet, as a table or as it says it.
+int ShowPeers(const std::string& own, std::string address, bool as_json) {
+  if (address.empty()) address = peatbend::LoadConfig(own).admin;
+  if (address.empty()) throw peatbend::ConfigError("admin: missing; name the operators' address with --at");
+  std::string answer = peatbend::net::AskRouter(address, "PEERS");
+  bool fine = !answer.starts_with("fail");
+  std::string text = as_json || !fine ? answer : peatbend::net::PeersTable(answer);
+  std::fprintf(fine ? stdout : stderr, "%s\n", text.c_str());
+  return fine ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -97,11 +109,17 @@
   auto* serve = app.add_subcommand("serve", "take clients and serve them until stopped");
   auto* check = app.add_subcommand("check", "read and check the configuration; name each faulty key");
   check->add_option("FILE", file, "check this file alone: .toml, or else the platform's JSON");
+  std::string at;
+  bool as_json = false;
+  auto* peers = app.add_subcommand("peers", "show what a running router sees of its fleet");
+  peers->add_option("--at", at, "its operators' address; else as configured")->type_name("ADDRESS:PORT");
+  peers->add_flag("--json", as_json, "as one JSON object");
   auto* version = app.add_subcommand("version", "print the version");
-  for (auto* command : {serve, check, version}) command->fallthrough();
+  for (auto* command : {serve, check, peers, version}) command->fallthrough();
   CLI11_PARSE(app, argc, argv);
   try {
     if (*version) return std::printf("peatbend %s\n", PEATBEND_VERSION) < 0 ? 1 : 0;
+    if (*peers) return ShowPeers(own, at, as_json);
     return *check ? Check(own, file) : Serve(own);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "peatbend: %s\n", error.what());
--- /dev/null
+++ b/src/peers/peers.h
@@ -0,0 +1,54 @@
+// A router's part in its fleet: the membership, driven by the loop. Switched off it is not made at all.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "base/tuning.h"
+#include "config/config.h"
+#include "peers/membership.h"
+#include "peers/peer_sockets.h"
+
+namespace peatbend::peers {
+
+class Peers {
+ public:
+  struct Self {
+    std::string name, zone, version, serves;
+  };
+  // Where the address cannot be had, it says so and tries again; serving does not depend on it.
+  Peers(event_base* base, const Config::Peers& config, const net::Tuning::Peers& times, Self self,
+        std::uint64_t random, net::Log& log);
+
+  void Leave();  // tells the others, and goes on telling until it is destroyed
+  Standing standing() const;
+  void SetNote(std::string note);
+  // The program's figures of its peers, names without a prefix.
+  std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
+  // One JSON object: this process and all it knows of others.
+  std::string Describe() const;
+  const Membership* membership() const { return membership_ ? &*membership_ : nullptr; }
+
+ private:
+  static Time Now();
+  void Open();
+  void Run(const std::function<void(Time, std::vector<Outgoing>&)>& what);
+  void Heard(const Record* before, const Record& now);
+
+  event_base* base_;
+  Config::Peers config_;
+  Options options_;
+  Self self_;
+  std::uint64_t random_;
+  net::Log& log_;
+  std::unique_ptr<PeerSockets> sockets_;
+  std::optional<Membership> membership_;
+  std::uint64_t dropped_[5] = {};
+  net::Timer step_;
+};
+
+}  // namespace peatbend::peers
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <random>
 #include <stdexcept>
 
 #include "base/listen.h"
@@ -26,7 +27,9 @@
 constexpr double kValuesShare = 0.3;
 
 std::int64_t Others(const Config& config) {
-  return kOtherDescriptors + (config.admin.empty() ? 0 : static_cast<std::int64_t>(kAdminDescriptors));
+  std::int64_t peers = config.peers.listen.empty() ? 0 : static_cast<std::int64_t>(peers::kDescriptors);
+  return kOtherDescriptors + peers +
+         (config.admin.empty() ? 0 : static_cast<std::int64_t>(kAdminDescriptors));
 }
 
 int Listening(const Config& config, std::optional<handover::Inheritance>& inherited, Log& log) {
@@ -53,7 +56,8 @@
 
 Router::Router(event_base* base, const Config& config, std::optional<handover::Inheritance> inherited,
                std::string door)
-    : running_(config),
+    : base_(base),
+      running_(config),
       log_(config.name, config.tuning.log, clock_),
       predecessor_keeps_(inherited ? inherited->keeps : 0),
       predecessor_memory_(inherited ? inherited->memory : 0),
@@ -92,6 +96,7 @@
   running_.known = {};  // read once; the list moves on without it
   Share();
   if (!config.admin.empty()) admin_ = std::make_unique<AdminServer>(base, config.admin, *this, clock_, log_);
+  MeetPeers();
   decision_.OnReady([this] {
     if (life_.PoolThere()) Moved();
   });
@@ -154,6 +159,7 @@
   life_.Stop();
   late_clients_over_.Set(running_.tuning.stop.keep_listening);
   stop_at_last_.Set(running_.tuning.stop.keep_listening + LongestDeadline() + running_.tuning.stop.slack);
+  if (peers_) peers_->Leave();
   Moved();
 }
 
@@ -163,6 +169,24 @@
   if (!std::exchange(ended_, true)) then_();
 }
 
+void Router::PrintCounters() {
+  log_.Counts("counters", Describe(counters_));
+  if (peers_) log_.Counts("peers counters", peers_->Figures());
+}
+
+void Router::MeetPeers() {
+  if (running_.peers.listen.empty()) return;
+  const Settings& settings = running_.settings;
+  bool zoned = settings.zone >= 0 && settings.zone < static_cast<int>(settings.zones.size());
+  peers_.emplace(
+      base_, running_.peers, running_.tuning.peers,
+      peers::Peers::Self{running_.name, zoned ? settings.zones[static_cast<std::size_t>(settings.zone)] : "",
+                         PEATBEND_VERSION, running_.listen},
+      std::random_device{}(), log_);
+}
+
+std::string Router::Peers() { return peers_ ? peers_->Describe() : "fail peers are off"; }
+
 std::string Router::Figures() {
   std::string text;
   auto add = [&text](std::string_view name, std::uint64_t value) {
@@ -182,6 +206,9 @@
   };
   add("targets", static_cast<std::uint64_t>(std::ranges::count_if(pool_.held(), cached)));
   add("targets_disabled", decision_.balancer().avoided());
+  if (peers_) {
+    for (const auto& [name, value] : peers_->Figures()) add("peers." + name, value);
+  }
   return text;
 }
 
@@ -240,6 +267,10 @@
 
 void Router::SuccessorReady() {
   log_.Line("handover", "a new process takes clients");
+  if (peers_) {  // the address among peers is the other's from now on
+    peers_->Leave();
+    peers_.reset();
+  }
   bool moved = life_.SuccessorReady();
   connections_.CloseAllIdle();
   Share();
@@ -256,6 +287,7 @@
   log_.Line("handover", "the new process has ended");
   bool moved = life_.SuccessorLost();
   Share();
+  if (!peers_ && !life_.stopping()) MeetPeers();
   if (life_.away()) late_clients_over_.Set(kLateClients);  // it may have gone off in between
   if (moved) Moved();
 }
@@ -302,6 +334,7 @@
                     config.sockets != running_.sockets,
                 "limits");
   at_next_start(config.tuning != running_.tuning, "tuning");
+  at_next_start(config.peers != running_.peers, "peers");
   at_next_start(config.settings != running_.settings, "settings");
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -17,6 +17,7 @@
 #include "handover/predecessor.h"
 #include "handover/successor.h"
 #include "member/member_connections.h"
+#include "peers/peers.h"
 #include "pool/pool.h"
 #include "router/life_cycle.h"
 #include "stage/decision.h"
@@ -35,7 +36,7 @@
   // Takes the configuration that `load` gives. A faulty one (load throws) changes nothing. Discovery is moved
   // at once; what else differs is logged and holds from the next start.
   void Reload(const std::function<Config()>& load);
-  void PrintCounters() { log_.Counts("counters", Describe(counters_)); }
+  void PrintCounters();
   const Counters& counters() const { return counters_; }
   const MemoryBudget& memory() const { return memory_; }
   const LifeCycle& life() const { return life_; }
@@ -48,6 +49,7 @@
   std::string Leave() override;
   std::string Join() override;
   std::string Figures() override;
+  std::string Peers() override;
 
  private:
   Duration LongestDeadline() const;
@@ -63,7 +65,10 @@
   void SuccessorLost();
   void PredecessorKeeps(std::int64_t keeps, std::int64_t memory);
   void End();
+  // Makes this one of its fleet, where that is configured.
+  void MeetPeers();
 
+  event_base* base_;
   Config running_;
   Clock clock_;
   Counters counters_;
@@ -80,6 +85,7 @@
   Listener listener_;
   std::optional<handover::Predecessor> predecessor_;
   std::unique_ptr<AdminServer> admin_;
+  std::optional<peers::Peers> peers_;
   std::function<void()> then_;
   bool ended_ = false;
   std::string door_;
