--- a/src/lab/bench.cpp
+++ b/src/lab/bench.cpp
@@ -13,7 +13,7 @@
 
 #include "lab/dial.h"
 #include "lab/echo.h"
-#include "lab/router_process.h"
+#include "processes/router_process.h"
 #include "lab/tally.h"
 #include "peatbend/balancer.h"
 #include "world/random.h"
@@ -21,6 +21,9 @@
 namespace peatbend::lab {
 namespace {
 
+using processes::FreePort;
+using processes::RouterProcess;
+
 using Clock = std::chrono::steady_clock;
 
 struct Sample {
--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -13,7 +13,7 @@
 
 #include "lab/client_sockets.h"
 #include "lab/dial.h"
-#include "lab/router_process.h"
+#include "processes/router_process.h"
 #include "lab/warm.h"
 #include "standin/discovery_standin.h"
 #include "standin/member_standin.h"
@@ -22,6 +22,8 @@
 namespace peatbend::lab {
 namespace {
 
+using processes::FreePort;
+using processes::RouterProcess;
 using standin::Pulse;
 using world::FromMs;
 using world::FromSeconds;
--- a/src/lab/router_process.cpp
+++ b/src/processes/router_process.cpp
@@ -1,4 +1,4 @@
-#include "lab/router_process.h"
+#include "processes/router_process.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -18,7 +18,7 @@
 
 extern char** environ;
 
-namespace peatbend::lab {
+namespace peatbend::processes {
 
 RouterProcess::RouterProcess(std::string program, std::string own_config, std::string folder,
                              std::string address)
@@ -134,4 +134,4 @@
   return ntohs(at.sin_port);
 }
 
-}  // namespace peatbend::lab
+}  // namespace peatbend::processes
--- a/src/lab/router_process.h
+++ b/src/processes/router_process.h
@@ -9,7 +9,7 @@
 
 #include "base/event_handles.h"
 
-namespace peatbend::lab {
+namespace peatbend::processes {
 
 class RouterProcess {
  public:
@@ -48,4 +48,4 @@
 // A TCP port on the host that nothing holds now.
 int FreePort(const std::string& host);
 
-}  // namespace peatbend::lab
+}  // namespace peatbend::processes
