Add peatbend-lab peers: fleets in the twin or as processes, with a report page

Need: the aims for detection, false deaths, traffic and splits are to be measured by one command. Change: schedules calm, kill, stall, split and random for real processes beside those of the twin; sums over seeds and sizes, JSON and a page.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -11,6 +11,7 @@
 
 #include "lab/bench.h"
 #include "lab/compare.h"
+#include "lab/peers_command.h"
 #include "lab/report.h"
 #include "lab/socket_run.h"
 #include "lab/virtual_run.h"
@@ -214,6 +215,28 @@
   auto* list = app.add_subcommand("list", "the scenarios");
   auto* explain = app.add_subcommand("explain", "what a scenario does");
   explain->add_option("SCENARIO", options.scenario)->required();
+  auto* peers =
+      app.add_subcommand("peers", "routers that know each other, under faults: in the twin, or as processes");
+  lab::PeersOptions fleet;
+  peers->add_option("--nodes", fleet.nodes, "sizes of the fleet (default 50)")
+      ->delimiter(',')
+      ->check(CLI::Range(2, 2000));
+  peers->add_option("--schedule", fleet.schedule, "what befalls it (default kill)")
+      ->check(CLI::IsMember({"calm", "kill", "stall", "split", "random"}));
+  peers->add_option("--seed", fleet.seed, "the first (default 1)");
+  peers->add_option("--seeds", fleet.seeds, "how many (default 10)")->check(CLI::Range(1, 1000000));
+  peers->add_option("--seconds", fleet.seconds, "of the schedule (default 10)")
+      ->check(CLI::Range(1.0, 3600.0));
+  peers->add_option("--loss", fleet.loss, "share of datagrams, each way")->check(CLI::Range(0.0, 0.9));
+  peers->add_option("--jobs", fleet.jobs, "seeds at once, in the twin (default 4)")->check(CLI::Range(1, 64));
+  peers->add_flag("--bytes", fleet.bytes, "count bytes too, in the twin");
+  peers->add_flag("--trace", fleet.trace, "a line for each message, in the twin");
+  peers->add_flag("--processes", fleet.processes,
+                  "real processes and links between them, one seed after another");
+  peers->add_option("--router", fleet.router, "the router program (default: peatbend beside this one)");
+  peers->add_option("--folder", fleet.folder, "for configurations and logs; kept where something went wrong");
+  peers->add_option("--json", fleet.json, "write all figures there");
+  peers->add_option("--report", fleet.report, "write a page with plots into this folder");
   CLI11_PARSE(app, argc, argv);
   try {
     if (*run) return Run(options);
@@ -221,6 +244,14 @@
     if (*soak) return Soak(options);
     if (*list) return List();
     if (*explain) return Explain(options);
+    if (*peers) {
+      fleet.router = RouterBeside(fleet.router);
+      RunFolder own(fleet.folder);
+      fleet.folder = own.path();
+      bool fine = lab::PlayPeers(fleet);
+      if (!fine) own.Keep();
+      return fine ? 0 : 1;
+    }
     RunFolder folder("");
     costs.router = RouterBeside(options.router);
     costs.folder = folder.path();
--- a/src/peers/membership.cpp
+++ b/src/peers/membership.cpp
@@ -108,7 +108,7 @@
 Standing Membership::StandingAt(Time now) const {
   if (phase_ != Phase::kMember) return Standing::kOut;
   if (now - last_step_ > options_.stall) return Standing::kUnsure;  // it stood still, and has not stepped yet
-  if (confirmed_ >= Time{} && now - confirmed_ <= options_.standing) return Standing::kSure;
+  if (confirmed_ >= Time{} && now - confirmed_ < options_.suspicion_least) return Standing::kSure;
   bool others =
       std::ranges::any_of(members_, [](const auto& one) { return one.second.record.state != State::kLeft; });
   return others ? Standing::kUnsure : Standing::kAlone;
--- a/src/peers/membership.h
+++ b/src/peers/membership.h
@@ -36,7 +36,6 @@
   int fanout = 3;
   Span suspicion_least = 700ms, suspicion_most = 1400ms;  // with confirmations, without
   Span stall = 400ms;       // a gap between two steps that is taken for standing still
-  Span standing = 2s;       // for which a confirmation of one's own standing holds
   Span join = 500ms;        // between attempts at a seed while joining; four times that as a member
   Span contest = 1s;        // for who uses the same name to answer
   Span refused = 5s;        // until a refused process tries again
@@ -47,8 +46,10 @@
 };
 
 // Whether this process may act on what it believes of itself and others. Sure: somebody has confirmed, lately
-// and since it last stood still, that it is held for present. Alone: it is a member and knows no other. Later
-// parts ask before they act; what is to happen once may not rest on the answer alone.
+// and since it last stood still, that it is held for present. A confirmation
+// holds for `suspicion_least`: who is cut off is unsure before others can have taken it for dead. Alone: it
+// is a member and knows no other. Later parts ask before they act; what is to happen once may not rest on the
+// answer alone.
 enum class Standing { kSure, kAlone, kUnsure, kOut };
 constexpr const char* kStandingNames[] = {"sure", "alone", "unsure", "out"};
 
--- a/tests/peers/twin_test.cpp
+++ b/tests/peers/twin_test.cpp
@@ -137,7 +137,7 @@
   auto standing_after = [](Span stall) {
     Setup setup = Of(5, 1);
     setup.options.stall = stall;
-    setup.options.standing = 10min;
+    setup.options.suspicion_least = setup.options.suspicion_most = 10min;
     Fleet fleet(setup);
     for (std::size_t i = 0; i < 5; ++i) fleet.Start(i);
     fleet.agenda().RunUntil(5s);
