--- /dev/null
+++ b/src/lab/peer_day.cpp
@@ -0,0 +1,117 @@
+#include "lab/peer_day.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "admin/ask.h"
+
+namespace peatbend::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kPort = 7300;
+constexpr std::size_t kSeeds = 3;
+
+}  // namespace
+
+PeerDay::PeerDay(world::Agenda& agenda, const Scenario& scenario, const std::vector<std::string>& hosts,
+                 const std::vector<std::string>& relays, std::uint64_t seed)
+    : scenario_(scenario), hosts_(hosts) {
+  std::vector<links::Links::Node> nodes;
+  for (std::size_t i = 0; i < hosts.size(); ++i)
+    nodes.push_back({fmt::format("{}:{}", hosts[i], kPort), fmt::format("{}:{}", relays[i], kPort)});
+  links_ = std::make_unique<links::Links>(std::move(nodes), seed);
+  for (const LinkEvent& event : scenario.link_events) Plan(agenda, event);
+}
+
+void PeerDay::Plan(world::Agenda& agenda, const LinkEvent& event) {
+  using enum LinkEvent::What;
+  links::Faults faults;
+  if (event.what == kCut || event.what == kOneWay || event.what == kSplit) faults.cut = true;
+  if (event.what == kHold) faults.hold = true;
+  if (event.what == kLoss) faults.loss = event.share;
+  if (event.what == kDelay) {
+    faults.delay = event.each;
+    faults.spread = event.each / 2;
+  }
+  auto set = [this, event](const links::Faults& now) {
+    for (int a : event.from) {
+      for (int b : event.to) {
+        if (a == b) continue;
+        links_->Set(static_cast<std::size_t>(a), static_cast<std::size_t>(b), now);
+        if (event.what != kOneWay) links_->Set(static_cast<std::size_t>(b), static_cast<std::size_t>(a), now);
+      }
+    }
+  };
+  agenda.At(event.at, [set, faults] { set(faults); });
+  agenda.At(event.at + event.lasts, [set] { set({}); });
+}
+
+std::string PeerDay::FileFor(int router, const std::string& base) const {
+  std::string text;
+  if (!base.empty()) {
+    std::ifstream file(base);
+    std::stringstream whole;
+    if (!file || !(whole << file.rdbuf())) throw std::runtime_error("cannot read " + base);
+    text = whole.str() + "\n";
+    if (text.find("\n[peers]") != std::string::npos || text.starts_with("[peers]"))
+      throw std::runtime_error(base + ": [peers] is the scenario's to set on this day");
+  }
+  std::string seeds;
+  for (std::size_t i = 0; i < std::min(kSeeds, hosts_.size()); ++i)
+    seeds += fmt::format("{}\"{}\"", i > 0 ? ", " : "", links_->Shown(i));
+  auto at = static_cast<std::size_t>(router);
+  return text +
+         fmt::format("[peers]\nfleet = \"day\"\nlisten = \"{}:{}\"\nadvertise = \"{}\"\nseeds = [{}]\n",
+                     hosts_[at], kPort, links_->Shown(at), seeds);
+}
+
+std::string PeerDay::Difference(const std::map<int, std::string>& admins) {
+  using nlohmann::json;
+  std::string difference;
+  for (auto until = std::chrono::steady_clock::now() + 5s; std::chrono::steady_clock::now() < until;
+       std::this_thread::sleep_for(50ms)) {
+    difference.clear();
+    std::map<std::string, std::set<std::pair<std::string, std::uint64_t>>> views;
+    std::set<std::pair<std::string, std::uint64_t>> there;
+    for (const auto& [router, admin] : admins) {
+      json all;
+      try {
+        all = json::parse(net::AskRouter(admin, "PEERS"), nullptr, false);
+      } catch (const std::runtime_error& error) {
+        difference = error.what();
+        continue;
+      }
+      std::string name = all.is_object() ? all.value("name", "") : "";
+      if (!all.is_object() || all.value("phase", "") != "member") {
+        difference = fmt::format("router {} is no member", router);
+        continue;
+      }
+      std::pair own{name, all.value("life", std::uint64_t{0})};
+      there.insert(own);
+      auto& view = views[name];
+      view.insert(own);
+      for (const json& one : all.at("members")) {
+        std::string state = one.at("state");
+        if (state != "alive" && state != "suspect") continue;
+        view.insert(std::pair(one.at("name").get<std::string>(), one.at("life").get<std::uint64_t>()));
+      }
+    }
+    for (const auto& [name, view] : views) {
+      if (view != there) difference = fmt::format("{} sees {} of {}", name, view.size(), there.size());
+    }
+    if (difference.empty()) break;
+  }
+  return difference;
+}
+
+}  // namespace peatbend::lab
--- /dev/null
+++ b/src/lab/peer_day.h
@@ -0,0 +1,36 @@
+// What a day on sockets needs where its routers see each other: links that fail between them, each router's
+// own file, and the question at the end whether their views agree.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/scenario.h"
+#include "links/links.h"
+#include "world/agenda.h"
+
+namespace peatbend::lab {
+
+class PeerDay {
+ public:
+  // `hosts`: a loopback host for each router, that nothing else uses; `relays`: another, for its relay.
+  PeerDay(world::Agenda& agenda, const Scenario& scenario, const std::vector<std::string>& hosts,
+          const std::vector<std::string>& relays, std::uint64_t seed);
+
+  // The text of a router's own file: what `base` says (a TOML file's path, or nothing), and [peers].
+  std::string FileFor(int router, const std::string& base) const;
+  // How the views of the routers at these operators' addresses differ; empty: they agree. Asks until they do
+  // or 5 s are over, and blocks for it.
+  static std::string Difference(const std::map<int, std::string>& admins);
+  double worst_late_ms() const { return static_cast<double>(links_->counts().worst_late.count()) / 1e6; }
+
+ private:
+  void Plan(world::Agenda& agenda, const LinkEvent& event);
+  const Scenario& scenario_;
+  std::vector<std::string> hosts_;
+  std::unique_ptr<links::Links> links_;
+};
+
+}  // namespace peatbend::lab
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -15,7 +15,7 @@
   constexpr std::string_view kNames[] = {"request_lost",        "answered_twice",       "resent_unsafe",
                                          "resent_after_window", "resent_outside_group", "refused_after_run",
                                          "sent_to_drained",     "cold_overrun",         "origin_stopped",
-                                         "foreign_value",       "router_crashed"};
+                                         "foreign_value",       "router_crashed",       "peers_differ"};
   static_assert(std::size(kNames) == kRules);
   return kNames[static_cast<std::size_t>(rule)];
 }
@@ -101,6 +101,10 @@
   Break(Rule::kRouterCrashed, at, "", fmt::format("router {}", router), std::string(how));
 }
 
+void Referee::PeersDiffer(Time at, std::string_view how) {
+  Break(Rule::kPeersDiffer, at, "", "", std::string(how));
+}
+
 std::size_t Referee::Attempt(const std::string& id, int place, const std::string& name, int router,
                              Time first_byte) {
   std::size_t number = attempts_.size();
--- a/src/lab/referee.h
+++ b/src/lab/referee.h
@@ -12,6 +12,7 @@
 //   origin_stopped        the origin stopped, and misses at cold servers made most of its load
 //   foreign_value         a client was served a value that was not made for its request
 //   router_crashed        a router ended though nobody told it to
+//   peers_differ          at the end routers that see each other do not agree who is there
 #pragma once
 
 #include <array>
@@ -38,9 +39,10 @@
   kColdOverrun,
   kOriginStopped,
   kForeignValue,
-  kRouterCrashed
+  kRouterCrashed,
+  kPeersDiffer
 };
-constexpr std::size_t kRules = 11;
+constexpr std::size_t kRules = 12;
 std::string_view RuleName(Rule rule);
 
 enum class Final { kServed, kRejected, kFailed };
@@ -63,6 +65,7 @@
   void RouterEnded(int router);
   void RouterBack(int router) { ended_.erase(router); }
   void RouterCrashed(int router, Time at, std::string_view how);
+  void PeersDiffer(Time at, std::string_view how);
 
   // From servers. An attempt's first byte came at the server of this name; `place` is -1 at the origin. The
   // number names the attempt.
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -281,13 +281,18 @@
                                                   {"discovery-down", What::kDiscoveryDown},
                                                   {"discovery-move", What::kDiscoveryMove},
                                                   {"add", What::kAdd}};
-    const std::pair<const char*, RouterEvent::What> routers[] = {{"router-term", RouterEvent::What::kTerm},
-                                                                 {"router-kill", RouterEvent::What::kKill},
-                                                                 {"router-hup", RouterEvent::What::kHup},
-                                                                 {"router-upgrade", RouterEvent::What::kUpgrade}};
+    const std::pair<const char*, RouterEvent::What> routers[] = {
+        {"router-term", RouterEvent::What::kTerm},    {"router-kill", RouterEvent::What::kKill},
+        {"router-hup", RouterEvent::What::kHup},      {"router-upgrade", RouterEvent::What::kUpgrade},
+        {"router-restart", RouterEvent::What::kKill}, {"router-stall", RouterEvent::What::kStall}};
+    const std::pair<const char*, LinkEvent::What> links[] = {
+        {"link-cut", LinkEvent::What::kCut},   {"link-one-way", LinkEvent::What::kOneWay},
+        {"link-loss", LinkEvent::What::kLoss}, {"link-delay", LinkEvent::What::kDelay},
+        {"link-hold", LinkEvent::What::kHold}, {"zone-split", LinkEvent::What::kSplit}};
     std::vector<std::string> words{"strangers"};
     for (const auto& [word, what] : fleet) words.emplace_back(word);
     for (const auto& [word, what] : routers) words.emplace_back(word);
+    for (const auto& [word, what] : links) words.emplace_back(word);
     Table t(table, "event", file, faults);
     std::string what;
     Time at{};
@@ -308,7 +313,8 @@
     }
     for (const auto& [word, kind] : routers) {
       if (what != word) continue;
-      RouterEvent read{kind, at, FromSeconds(1), FromSeconds(2), {}};
+      bool at_once = what == "router-restart";
+      RouterEvent read{kind, at, FromSeconds(at_once ? 0.01 : 1), FromSeconds(2), {}};
       t.Places("routers", read.routers, scenario.routers);
       t.Sec("back_s", read.back, 0.01, 600);
       t.Sec("every_s", read.every, 0, 600);
@@ -316,6 +322,9 @@
       scenario.router_events.push_back(read);
       return Mark(at, what);
     }
+    for (const auto& [word, kind] : links) {
+      if (what == word) return Link(t, what, {kind, at, lasts, {}, {}});
+    }
     FleetEvent read;
     for (const auto& [word, kind] : fleet) {
       if (what == word) read.what = kind;
@@ -342,6 +351,28 @@
     if (ends && at + lasts < scenario.lasts) Mark(at + lasts, what + " ends");
   }
 
+  void Link(Table& t, const std::string& what, LinkEvent read) {
+    if (!scenario.peers) t.Fault(nullptr, "what", what + ": needs on = true in [peers]");
+    t.Number("share", read.share, 0, 1);
+    t.Ms("each_ms", read.each, 0, 60000);
+    if (read.what == LinkEvent::What::kSplit) {
+      std::string zone;
+      t.Word("zone", zone);
+      int split = zone.size() == 1 ? zone[0] - 'a' : -1;
+      if (split < 0 || split >= scenario.fleet.zones) t.Fault(nullptr, "zone", "no such zone");
+      for (int r = 0; r < scenario.routers; ++r)
+        (RouterZone(scenario, r) == split ? read.from : read.to).push_back(r);
+    } else {
+      t.Places("from", read.from, scenario.routers);
+      t.Places("to", read.to, scenario.routers);
+      if (read.from.empty() || read.to.empty())
+        t.Fault(nullptr, read.from.empty() ? "from" : "to", "missing");
+    }
+    scenario.link_events.push_back(read);
+    Mark(read.at, what);
+    if (read.at + read.lasts < scenario.lasts) Mark(read.at + read.lasts, what + " ends");
+  }
+
   void All(const toml::table& table) {
     Table root(&table, "", file, faults);
     Scenario& s = scenario;
@@ -355,6 +386,10 @@
       t.Number("memory_mb", s.memory_mb, 16, 100000);
       t.Number("sockets", s.sockets, 64, 100000);
     }
+    {
+      Table t(root.Child("peers"), "peers", file, faults);
+      t.Yes("on", s.peers);
+    }
     Load(root.Child("load"));
     Fleet(root.Child("fleet"));
     World(root);
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -28,14 +28,26 @@
 };
 
 struct RouterEvent {
-  enum class What { kTerm, kKill, kHup, kUpgrade };
+  enum class What { kTerm, kKill, kHup, kUpgrade, kStall };
   What what{};
   Time at{};
-  Span back{};   // started again after this; kUpgrade: from the new one's yes to the old one's SIGTERM
+  Span back{};  // started again after this; kStall: goes on after it; kUpgrade: from the new one's yes to the
+                // old one's SIGTERM
   Span every{};  // between one router and the next
   std::vector<int> routers;
 };
 
+// Between routers that see each other; both ways, but for kOneWay.
+struct LinkEvent {
+  enum class What { kCut, kOneWay, kLoss, kDelay, kHold, kSplit };
+  What what{};
+  Time at{};
+  Span lasts{};
+  std::vector<int> from, to;
+  double share = 0.1;             // kLoss
+  Span each = world::FromMs(50);  // kDelay, and half as much again at random
+};
+
 struct Strangers {
   Time at{};
   Span lasts{};
@@ -72,6 +84,8 @@
   std::vector<world::FleetEvent> troubles;
   std::vector<RouterEvent> router_events;
   std::vector<Strangers> strangers;
+  bool peers = false;  // routers see each other; on sockets only
+  std::vector<LinkEvent> link_events;
   // Judging.
   double grace_ms = 70;         // after the deadline, for the final answer
   double drain_grace_ms = 300;  // after a router was told, for the last send
--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -7,14 +7,16 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <unordered_map>
 
 #include "lab/client_sockets.h"
 #include "lab/dial.h"
-#include "processes/router_process.h"
+#include "lab/peer_day.h"
 #include "lab/warm.h"
+#include "processes/router_process.h"
 #include "standin/discovery_standin.h"
 #include "standin/member_standin.h"
 #include "standin/origin_standin.h"
@@ -70,15 +72,26 @@
     fleet_.Plan(scenario.troubles);
     for (const RouterEvent& event : scenario.router_events) PlanRouters(event);
     for (const Strangers& strangers : scenario.strangers) clients_.Let(strangers);
+    std::vector<std::string> hosts, relays;
     for (int r = 0; r < scenario.routers; ++r) {
       // A host of this process's own: a router that is down must find its port again, whoever else plays a
       // day.
       std::string host = standin::LoopbackHost(10 + r, 100 + getpid() % 150, 4);
       std::string address = fmt::format("{}:{}", host, FreePort(host));
+      hosts.push_back(host);
+      relays.push_back(standin::LoopbackHost(10 + r, 100 + getpid() % 150, 5));
+      std::string own =
+          scenario.peers ? fmt::format("{}/router-{}.toml", options.folder, r) : options.own_config;
       routers_.push_back(std::make_unique<RouterProcess>(
-          options.router, options.own_config, fmt::format("{}/router-{}", options.folder, r), address));
+          options.router, own, fmt::format("{}/router-{}", options.folder, r), address));
       clients_.RouterAt(r, address);
     }
+    if (scenario.peers) {
+      peers_ = std::make_unique<PeerDay>(pulse_.agenda, scenario, hosts, relays, seed);
+      for (int r = 0; r < scenario.routers; ++r)
+        std::ofstream(fmt::format("{}/router-{}.toml", options.folder, r))
+            << peers_->FileFor(r, options.own_config);
+    }
   }
   ~SocketDay() override {
     for (const Retiring& one : retiring_) {
@@ -117,13 +130,17 @@
     pulse_.Begin();
     event_base_dispatch(loop_.get());
     Sample();
+    if (peers_) {
+      std::string difference = PeerDay::Difference(admins_);
+      if (!difference.empty()) referee_.PeersDiffer(scenario_.lasts, difference);
+    }
     DayResult result = Reckon(scenario_, seed_, plan_, crowd_.outcomes(), referee_, counter_.Read(fleet_));
     for (std::size_t r = 0; r < routers_.size(); ++r) {
       auto used = routers_[r]->Used();
       result.routers.push_back({1e6 * used.cpu_s / std::max<double>(1, static_cast<double>(tries_[r])),
                                 used.peak_mb, used.descriptors});
     }
-    result.worst_lag_ms = world::Ms(pulse_.worst_lag);
+    result.worst_lag_ms = std::max(world::Ms(pulse_.worst_lag), peers_ ? peers_->worst_late_ms() : 0.0);
     return result;
   }
 
@@ -233,6 +250,7 @@
       pulse_.agenda.At(event.at + static_cast<int>(i) * event.every, [this, r, event] {
         if (!routers_[r]->running()) return;
         Sample();
+        if (event.what == RouterEvent::What::kStall) return Stall(r, event.back);
         if (event.what == RouterEvent::What::kUpgrade) return Upgrade(r, event.back);
         if (event.what == RouterEvent::What::kHup) {
           Configure(static_cast<int>(r), false);
@@ -248,6 +266,19 @@
     }
   }
 
+  // What it held while it stood still is excused.
+  void Stall(std::size_t r, Span lasts) {
+    int router = static_cast<int>(r);
+    referee_.RouterEnded(router);
+    routers_[r]->Signal(SIGSTOP);
+    crowd_.RouterDown(router, FromSeconds(scenario_.front_notices_s));
+    pulse_.agenda.In(lasts, [this, r, router] {
+      routers_[r]->Signal(SIGCONT);
+      referee_.RouterBack(router);
+      crowd_.RouterUp(router);
+    });
+  }
+
   // A new process beside the running one, as operators do it: the old one is told to end once HEALTH of the
   // new one's address says yes.
   void Upgrade(std::size_t r, Span keeps) {
@@ -373,6 +404,7 @@
   std::unique_ptr<standin::OriginStandin> origin_;
   std::unique_ptr<standin::DiscoveryStandin> discovery_;
   std::vector<std::unique_ptr<RouterProcess>> routers_;
+  std::unique_ptr<PeerDay> peers_;
   net::Signal on_child_;
   net::Timer probe_, sample_;
 };
