Let the twin's fleets tell all their news before traffic is counted

Cause: with 500 nodes that start at once the count fell into the telling of their joins (40 datagrams of 34 kB a second). Change: a run without loss waits until nobody has news to tell.

--- a/src/twin/fleet.cpp
+++ b/src/twin/fleet.cpp
@@ -219,6 +219,10 @@
   }
 }
 
+bool Fleet::Quiet() const {
+  return std::ranges::all_of(nodes_, [](const Node& node) { return !node.process || node.process->news() == 0; });
+}
+
 bool Fleet::Agreed() const { return Difference().empty(); }
 
 std::string Fleet::Difference() const {
--- a/src/twin/fleet.h
+++ b/src/twin/fleet.h
@@ -61,6 +61,7 @@
   bool up(std::size_t node) const { return nodes_[node].process != nullptr; }
   const peers::Membership& at(std::size_t node) const { return *nodes_[node].process; }
   // Every member that is up holds just the members that are up for present, each under its present life.
+  bool Quiet() const;  // nobody has news yet to be told
   bool Agreed() const;
   std::string Difference() const;  // the first, as a text
 
--- a/src/twin/schedules.cpp
+++ b/src/twin/schedules.cpp
@@ -8,6 +8,7 @@
 using namespace std::chrono_literals;
 
 constexpr Span kJoined = 5s;    // from the first agreement on, for the news to have been told
+constexpr Span kTold = 60s;     // at most, for all of it
 constexpr Span kLook = 20ms;    // how often it is asked whether views agree
 constexpr Span kSettled = 15s;  // that random faults leave at the end
 constexpr Span kSplit = 30s;
@@ -89,6 +90,10 @@
   fleet.agenda().RunUntil(fleet.now() + 500ms);
   outcome.join_s = UntilAgreed(fleet, fleet.now() + 30s);
   fleet.agenda().RunUntil(fleet.now() + kJoined);
+  // A large fleet that starts at once has much to tell; under loss there is always something.
+  Time tells = fleet.now() + kTold;
+  while (setup.links.loss == 0 && !fleet.Quiet() && fleet.now() < tells)
+    fleet.agenda().RunUntil(fleet.now() + kLook);
   Time begin = fleet.now();
   Fleet::Traffic before = fleet.traffic();
   std::size_t noticed_before = fleet.noticed().size();
