Test that [peers] is off unless it listens, and that each of its faults is named

Need: the section's own keys were checked by code that no test held. Change: one test, nine faults by their key, and the platform's bar.

--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -97,6 +97,38 @@
   }
 }
 
+TEST_CASE("[peers] is off unless it listens, and each of its faults is named") {
+  CHECK(ReadConfig({.toml = kSound}, NoVariable).peers.listen.empty());
+  const std::string good = "[peers]\nfleet = \"f\"\nlisten = \"127.0.0.1:7300\"\n";
+  Config config = ReadConfig({.toml = kSound + good + "seeds = [\"127.0.0.1:7301\"]\n"}, NoVariable);
+  CHECK(config.peers.advertise == "127.0.0.1:7300");
+  CHECK(config.peers.seeds.size() == 1);
+  auto fault = [](const std::string& peers, const std::string& json = "{}") -> std::string {
+    try {
+      ReadConfig({.json = json, .toml = kSound + peers}, NoVariable);
+    } catch (const ConfigError& error) {
+      return error.what();
+    }
+    return "none";
+  };
+  auto names = [&](const std::string& peers, const std::string& key) {
+    INFO(fault(peers));
+    CHECK(fault(peers).find(key) != std::string::npos);
+  };
+  names("[peers]\nfleet = \"f\"\n", "peers.listen: missing");
+  names("[peers]\nlisten = \"127.0.0.1:7300\"\n", "peers.fleet: ");
+  names("[peers]\nfleet = \"f\"\nlisten = \"0.0.0.0:7300\"\n", "peers.advertise: needed");
+  names(good + "seeds = [7]\n", "peers.seeds: a list of ADDRESS:PORT");
+  names(good + "seeds = [\"nowhere\"]\n", "peers.seeds: address");
+  names(good + "timeout_ms = 200\n", "peers.timeout_ms: less than");
+  names(good + "suspicion_least_ms = 2000\n", "peers.suspicion_least_ms: at most");
+  names(good + "seed = 1\n", "peers.seed: not known; the nearest known name is peers.seeds");
+  std::string barred =
+      R"({"settings":{"ceilings":{"peers":false},"classes":[{"name":"a","deadline":1000000000}]}})";
+  CHECK(fault(good, barred).find("peers: this deployment bars talk") != std::string::npos);
+  CHECK(fault("", barred) == "none");
+}
+
 TEST_CASE("docs/configuration.md and deploy/peatbend.toml state every key as the code has it") {
   std::string page = Whole("docs/configuration.md");
   Tuning defaults;
