Ask routers what they see in one place; take out an accessor nobody calls

Change: processes/peer_view serves both; Peers::membership() is gone. Behaviour and assertions are as they were.

--- a/src/lab/peer_day.cpp
+++ b/src/lab/peer_day.cpp
@@ -5,13 +5,11 @@
 #include <algorithm>
 #include <chrono>
 #include <fstream>
-#include <nlohmann/json.hpp>
-#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
 
-#include "admin/ask.h"
+#include "processes/peer_view.h"
 
 namespace peatbend::lab {
 namespace {
@@ -76,40 +74,13 @@
 }
 
 std::string PeerDay::Difference(const std::map<int, std::string>& admins) {
-  using nlohmann::json;
-  std::string difference;
-  for (auto until = std::chrono::steady_clock::now() + 5s; std::chrono::steady_clock::now() < until;
-       std::this_thread::sleep_for(50ms)) {
-    difference.clear();
-    std::map<std::string, std::set<std::pair<std::string, std::uint64_t>>> views;
-    std::set<std::pair<std::string, std::uint64_t>> there;
-    for (const auto& [router, admin] : admins) {
-      json all;
-      try {
-        all = json::parse(net::AskRouter(admin, "PEERS"), nullptr, false);
-      } catch (const std::runtime_error& error) {
-        difference = error.what();
-        continue;
-      }
-      std::string name = all.is_object() ? all.value("name", "") : "";
-      if (!all.is_object() || all.value("phase", "") != "member") {
-        difference = fmt::format("router {} is no member", router);
-        continue;
-      }
-      std::pair own{name, all.value("life", std::uint64_t{0})};
-      there.insert(own);
-      auto& view = views[name];
-      view.insert(own);
-      for (const json& one : all.at("members")) {
-        std::string state = one.at("state");
-        if (state != "alive" && state != "suspect") continue;
-        view.insert(std::pair(one.at("name").get<std::string>(), one.at("life").get<std::uint64_t>()));
-      }
-    }
-    for (const auto& [name, view] : views) {
-      if (view != there) difference = fmt::format("{} sees {} of {}", name, view.size(), there.size());
-    }
-    if (difference.empty()) break;
+  std::vector<std::string> addresses;
+  for (const auto& [router, admin] : admins) addresses.push_back(admin);
+  std::string difference = processes::DifferenceAmong(addresses);
+  for (auto until = std::chrono::steady_clock::now() + 5s;
+       !difference.empty() && std::chrono::steady_clock::now() < until;) {
+    std::this_thread::sleep_for(50ms);
+    difference = processes::DifferenceAmong(addresses);
   }
   return difference;
 }
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -31,7 +31,6 @@
   std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
   // One JSON object: this process and all it knows of others.
   std::string Describe() const;
-  const Membership* membership() const { return membership_ ? &*membership_ : nullptr; }
 
  private:
   static Time Now();
--- a/src/processes/peer_fleet.cpp
+++ b/src/processes/peer_fleet.cpp
@@ -6,13 +6,9 @@
 
 #include <csignal>
 #include <fstream>
-#include <map>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <thread>
 
-#include "admin/ask.h"
-
 namespace peatbend::processes {
 namespace {
 
@@ -103,44 +99,14 @@
   }
 }
 
-std::optional<View> PeerFleet::Ask(std::size_t node) const {
-  using nlohmann::json;
-  View view;
-  view.asked = Clock::now();
-  json all;
-  try {
-    all = json::parse(net::AskRouter(Admin(node), "PEERS"), nullptr, false);
-  } catch (const std::runtime_error&) {
-    return std::nullopt;
-  }
-  if (!all.is_object()) return std::nullopt;
-  view.phase = all.value("phase", "");
-  view.standing = all.value("standing", "");
-  view.life = all.value("life", std::uint64_t{0});
-  for (const json& one : all.value("members", json::array()))
-    view.members[one.at("name")] = {one.at("state"), one.at("life"), one.at("for_ms")};
-  return view;
-}
+std::optional<View> PeerFleet::Ask(std::size_t node) const { return AskView(Admin(node)); }
 
 std::string PeerFleet::Difference() const {
-  std::map<std::string, View> views;
-  std::map<std::string, std::uint64_t> there;
+  std::vector<std::string> admins;
   for (std::size_t i = 0; i < size(); ++i) {
-    if (!up_[i] || stalled_[i]) continue;
-    auto view = Ask(i);
-    if (!view) return NameOf(i) + " does not answer";
-    if (view->phase != "member") return NameOf(i) + " is " + view->phase;
-    there[NameOf(i)] = view->life;
-    views[NameOf(i)] = *view;
-  }
-  for (const auto& [name, view] : views) {
-    std::map<std::string, std::uint64_t> seen{{name, view.life}};
-    for (const auto& [other, of] : view.members) {
-      if (of.state == "alive" || of.state == "suspect") seen[other] = of.life;
-    }
-    if (seen != there) return fmt::format("{} sees {} of {}", name, seen.size(), there.size());
+    if (up_[i] && !stalled_[i]) admins.push_back(Admin(i));
   }
-  return {};
+  return DifferenceAmong(admins);
 }
 
 std::optional<double> PeerFleet::Agree(std::chrono::milliseconds within) {
--- a/src/processes/peer_fleet.h
+++ b/src/processes/peer_fleet.h
@@ -12,25 +12,11 @@
 #include <vector>
 
 #include "links/links.h"
+#include "processes/peer_view.h"
 #include "processes/router_process.h"
 
 namespace peatbend::processes {
 
-using Clock = std::chrono::steady_clock;
-
-// How one process sees the fleet.
-struct View {
-  struct Of {
-    std::string state;
-    std::uint64_t life = 0;
-    double for_ms = 0;
-  };
-  std::string phase, standing;
-  std::uint64_t life = 0;
-  std::map<std::string, Of> members;
-  Clock::time_point asked;
-};
-
 class PeerFleet {
  public:
   // `program`: the router. `folder`: for configurations and logs.
