--- a/src/lab/peers_command.cpp
+++ b/src/lab/peers_command.cpp
@@ -150,7 +150,7 @@
   bool kills = std::ranges::any_of(sums, [](const Sum& sum) { return !sum.noticed_ms.empty(); });
   if (kills) {
     page +=
-        "<figure><figcaption>Share of processes that have noticed the kill</figcaption><svg viewBox='0 0 860 "
+        "<figure><figcaption>Share of processes that have noticed the kill</figcaption><svg viewBox='0 0 900 "
         "260'>";
     double most = 1000;
     for (const Sum& sum : sums) most = std::max(most, Quantile(sum.noticed_ms, 1));
@@ -175,15 +175,37 @@
     }
     page += "</svg></figure>";
   }
+  double most = 0;
+  for (const Sum& sum : sums)
+    most = std::max(most, sum.datagrams_s / static_cast<double>(std::max<std::size_t>(1, sum.runs)));
+  if (most > 0) {
+    page += "<figure><figcaption>Datagrams that a node sends in a second</figcaption><svg viewBox='0 0 900 ";
+    page += fmt::format("{}'>", 10 + 22 * sums.size());
+    for (std::size_t s = 0; s < sums.size(); ++s) {
+      double each = sums[s].datagrams_s / static_cast<double>(std::max<std::size_t>(1, sums[s].runs));
+      page += fmt::format(
+          "<text x=80 y={0} text-anchor=end>{1} nodes</text><rect x=90 y={2} width={3:.0f} height=14 "
+          "fill='{4}'/>"
+          "<text x={5:.0f} y={0}>{6:.1f}</text>",
+          20 + 22 * s, sums[s].nodes, 9 + 22 * s, 700 * each / most, kColours[s % std::size(kColours)],
+          96 + 700 * each / most, each);
+    }
+    page += "</svg></figure>";
+  }
+  auto orNone = [](double value, bool there, int digits) {
+    return there ? fmt::format("{:.{}f}", value, digits) : std::string("&ndash;");
+  };
   page +=
       "<table><tr><th>nodes<th>seeds<th>noticed p50, p99, ms<th>agreed at most, s<th>false "
       "deaths<th>datagrams/s<th>bytes/s";
   for (const Sum& sum : sums) {
     auto runs = static_cast<double>(std::max<std::size_t>(1, sum.runs));
-    page +=
-        fmt::format("<tr><td>{}<td>{}<td>{:.0f}, {:.0f}<td>{:.2f}<td>{}<td>{:.1f}<td>{:.0f}", sum.nodes,
-                    sum.runs, Quantile(sum.noticed_ms, 0.5), Quantile(sum.noticed_ms, 0.99),
-                    Quantile(sum.agreed_s, 1), sum.false_deaths, sum.datagrams_s / runs, sum.bytes_s / runs);
+    page += fmt::format("<tr><td>{}<td>{}<td>{}, {}<td>{}<td>{}<td>{}<td>{}", sum.nodes, sum.runs,
+                        orNone(Quantile(sum.noticed_ms, 0.5), !sum.noticed_ms.empty(), 0),
+                        orNone(Quantile(sum.noticed_ms, 0.99), !sum.noticed_ms.empty(), 0),
+                        orNone(Quantile(sum.agreed_s, 1), !sum.agreed_s.empty(), 2), sum.false_deaths,
+                        orNone(sum.datagrams_s / runs, sum.datagrams_s > 0, 1),
+                        orNone(sum.bytes_s / runs, sum.bytes_s > 0, 0));
   }
   return page + "</table>\n";
 }
--- a/src/standin/pulse.h
+++ b/src/standin/pulse.h
@@ -24,7 +24,7 @@
   void Begin() {
     zero_ = std::chrono::steady_clock::now();
     unix_zero_ = std::chrono::system_clock::now();
-    Catch();
+    Beat beat(*this);  // what is overdue now was put down for before the day: no lag
   }
   world::Time Now() const { return std::chrono::steady_clock::now() - zero_; }
   // A moment of the day in Unix milliseconds, as discovery's list states it; 0 stays 0.
--- a/src/twin/fleet.cpp
+++ b/src/twin/fleet.cpp
@@ -24,12 +24,12 @@
   std::vector<std::string> seeds;
   for (std::size_t i = 0; i < std::min(setup_.seeds, setup_.nodes); ++i) seeds.push_back(Address(i));
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    nodes_[i].name = fmt::format("r{}", i);
+    nodes_[i].name = fmt::format("r{:04}", i);  // of one length: what a message weighs must not hang on it
     nodes_[i].seeds = seeds;
   }
 }
 
-std::string Fleet::Address(std::size_t node) { return fmt::format("n:{}", node); }
+std::string Fleet::Address(std::size_t node) { return fmt::format("n:{:04}", node); }
 
 std::size_t Fleet::NodeAt(const std::string& address) const {
   std::size_t node = kNobody;
@@ -220,7 +220,8 @@
 }
 
 bool Fleet::Quiet() const {
-  return std::ranges::all_of(nodes_, [](const Node& node) { return !node.process || node.process->news() == 0; });
+  return std::ranges::all_of(nodes_,
+                             [](const Node& node) { return !node.process || node.process->news() == 0; });
 }
 
 bool Fleet::Agreed() const { return Difference().empty(); }
--- a/tests/lab/referee_test.cpp
+++ b/tests/lab/referee_test.cpp
@@ -73,6 +73,18 @@
 every_s = 0.1
 )";
 
+// Two routers of the real program that see each other, and lose sight of each other before the end.
+const char kApart[] = R"(
+[peers]
+on = true
+[[event]]
+what = "link-cut"
+from = [0]
+to = [1]
+at_s = 1
+for_s = 60
+)";
+
 DayResult Play(const std::string& fault) {
   setenv("MUTANT", fault.c_str(), 1);
   std::string folder =
@@ -111,6 +123,15 @@
 TEST_CASE("caught, of servers") {
   for (const char* fault : {"sent_to_drained", "cold_overrun", "origin_stopped"}) IsCaught(fault);
 }
+TEST_CASE("caught, of peers") {
+  std::string folder =
+      std::filesystem::temp_directory_path() / ("peatbend-apart-" + std::to_string(getpid()));
+  Scenario scenario = ParseScenario(std::string(kDay) + kApart, "apart.toml");
+  DayResult result = RunOnSockets(scenario, 3, {PEATBEND_ROUTER, "", folder, {}});
+  std::filesystem::remove_all(folder);
+  CAPTURE(Summary(result));
+  for (const auto& rule : result.rules) CHECK(rule.count.times == (rule.name == "peers_differ" ? 1 : 0));
+}
 
 }  // namespace
 }  // namespace peatbend::lab::test
--- a/tests/peers/twin_test.cpp
+++ b/tests/peers/twin_test.cpp
@@ -85,7 +85,7 @@
 TEST_CASE("twin: of two under one name the older stays, also where both were members before they met") {
   for (bool apart : {false, true}) {
     Fleet fleet(Of(6, 1));
-    fleet.Name(5, "r2");
+    fleet.Name(5, "r0002");
     auto cut = [&](bool on) {
       for (std::size_t i = 0; i < 5; ++i) fleet.Cut(5, i, on), fleet.Cut(i, 5, on);
     };
@@ -103,8 +103,8 @@
     fleet.agenda().RunUntil(20s);
     CHECK(fleet.at(2).phase() == peers::Membership::Phase::kMember);
     CHECK(fleet.at(5).phase() != peers::Membership::Phase::kMember);
-    CHECK(fleet.at(0).members().at("r2").record.address == Fleet::Address(2));
-    CHECK(fleet.at(0).members().at("r2").record.life == fleet.at(2).self().life);
+    CHECK(fleet.at(0).members().at("r0002").record.address == Fleet::Address(2));
+    CHECK(fleet.at(0).members().at("r0002").record.life == fleet.at(2).self().life);
   }
 }
 
@@ -123,11 +123,11 @@
     Fleet fleet(setup);
     for (std::size_t i = 0; i < 5; ++i) fleet.Start(i);
     fleet.agenda().RunUntil(5s);
-    std::uint64_t before = fleet.at(0).members().at("r3").record.life;
+    std::uint64_t before = fleet.at(0).members().at("r0003").record.life;
     fleet.Kill(3);
     fleet.Start(3);
     fleet.agenda().RunUntil(7s);
-    return fleet.at(0).members().at("r3").record.life != before;
+    return fleet.at(0).members().at("r0003").record.life != before;
   };
   CHECK(restart(false));
   CHECK_FALSE(restart(true));
