Decide who may go on with work in hand by records at three seats

Need: a router that dies takes what it had in hand with it; another is to take it over, once, with no clock, time-out or failure detector in the argument.

Change: src/takeover, decisions free of I/O and clocks: a register for each work at three seats (after CASPaxos), round 0 without promises for work that is new, ages instead of clock readings, seats that vote for nothing until they can have forgotten nothing. The enumerator walks all states now; orders play three seats and two or three routers on this code.

Found by the orders: a permission that came late was asked for anew without deciding anew, and a keyed repeat left after its window (23 events). It is void now.

--- /dev/null
+++ b/src/takeover/record.h
@@ -0,0 +1,93 @@
+// What the holders of a piece of work keep of it, and what they and its owners say to each other. Free of
+// I/O and clocks. docs/design/takeover.md has the argument.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace peatbend::takeover {
+
+using Span = std::chrono::nanoseconds;
+using Time = std::chrono::nanoseconds;  // on a clock that goes on while the process stands still
+
+// One process's one go at one piece of work.
+struct Author {
+  std::string name;
+  std::uint64_t life = 0;  // of the process; another with each start
+  std::uint64_t go = 0;    // counts within the life
+  auto operator<=>(const Author&) const = default;
+};
+
+// Who may write. Round 0 is for work that nobody has written yet, and needs no promise; a higher round needs
+// the promises of a majority. No two authors have one ballot.
+struct Ballot {
+  std::uint64_t round = 0;
+  Author author;
+  auto operator<=>(const Ballot&) const = default;
+};
+
+// An attempt, from the moment at which it was recorded that it is about to be sent.
+struct Step {
+  Author by;
+  std::uint32_t number = 0;  // of its author's steps
+  std::string server;
+  bool may_have_run = true;  // until its author has recorded that it never ran
+  auto operator<=>(const Step&) const = default;
+};
+
+enum class End : std::uint8_t { kNone, kValue, kFailed, kRejected };
+constexpr const char* kEndNames[] = {"none", "value", "failed", "rejected"};
+
+struct State {
+  std::vector<Step> steps;
+  End end = End::kNone;
+  std::string value;
+  bool operator==(const State&) const = default;
+  // Told to one, it is the end for all. A reject says: ask again; so it ends only what was asked before.
+  bool final() const { return end == End::kValue || end == End::kFailed; }
+};
+
+enum class Kind : std::uint8_t { kPrepare, kAccept, kPromise, kAccepted, kRefused };
+constexpr const char* kKindNames[] = {"prepare", "accept", "promise", "accepted", "refused"};
+
+enum class Refusal : std::uint8_t {
+  kNone,
+  kTaken,  // round 0, and another has written or been promised; or a higher ballot has been promised
+  kYoung,  // this process may have forgotten what it promised in the life before
+  kFull,   // no room for another record
+};
+constexpr const char* kRefusalNames[] = {"none", "taken", "young", "full"};
+
+struct Message {
+  Kind kind = Kind::kPrepare;
+  std::string work;
+  Ballot ballot;  // of the one who asks, also in the answer
+  // accept: what is to be kept. promise: what was kept last, if anything.
+  Ballot kept;
+  std::uint32_t version = 0;  // of the writes under one ballot; 0: nothing is kept
+  State state;
+  Span age{};  // accept, promise: since the first step was recorded, at the least; zero without a step
+  Refusal refusal = Refusal::kNone;
+  Ballot promised;  // refused: what stands against it
+  bool operator==(const Message&) const = default;
+};
+
+// For traces.
+std::string Text(const Ballot& ballot);
+std::string Text(const State& state);
+std::string Text(const Message& message);
+
+// Appends all of it as bytes: equal bytes, equal values. For tests that tell states apart.
+void Put(std::string& into, std::uint64_t number);
+void Put(std::string& into, const std::string& text);
+void Put(std::string& into, const Ballot& ballot);
+void Put(std::string& into, const State& state);
+void Put(std::string& into, const Message& message);
+
+// So many seats keep each record.
+constexpr std::size_t kSeats = 3, kMajority = 2;
+
+}  // namespace peatbend::takeover
--- a/tests/orders/orders.h
+++ b/tests/orders/orders.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace peatbend::orders {
@@ -43,6 +44,29 @@
   return sequences;
 }
 
+// Looks at each state that can be reached from `start`, once, whatever the ways that lead there. `events`: of
+// a state, those that may happen next, by name, with the state that each leads to; it must come to an end on
+// each way. `print`: equal for equal states. `look`: false ends all. Returns how many there were.
+template <typename State, typename Events, typename Print, typename Look>
+std::size_t ForEachState(const State& start, Events events, Print print, Look look,
+                         std::size_t most = ~std::size_t{0}) {
+  std::unordered_set<std::uint64_t> seen{print(start)};
+  std::vector<typename decltype(events(start))::value_type::first_type> way;
+  bool goes_on = look(start, way);
+  std::function<void(const State&)> go = [&](const State& state) {
+    for (auto& [name, next] : events(state)) {
+      if (!goes_on || seen.size() >= most) return;
+      if (!seen.insert(print(next)).second) continue;
+      way.push_back(name);
+      goes_on = look(next, way);
+      go(next);
+      way.pop_back();
+    }
+  };
+  if (goes_on) go(start);
+  return seen.size();
+}
+
 template <typename Play>
 std::string Names(const std::vector<Happening<Play>>& events) {
   std::string names;
--- /dev/null
+++ b/tests/orders/takeover_test.cpp
@@ -0,0 +1,161 @@
+// Taking over, in all orders of what can happen, on the code that routers run.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "orders/orders.h"
+#include "orders/takeover_town.h"
+
+namespace peatbend::orders {
+namespace {
+
+struct Found {
+  std::size_t states = 0, ended = 0, sent_twice = 0;
+  std::string broken, way;
+};
+
+Found Explore(const TownSetup& setup, std::size_t most = ~std::size_t{0}) {
+  Found found;
+  found.states = ForEachState(
+      Town(setup), [](const Town& town) { return town.Events(); },
+      [](const Town& town) { return town.Print(); },
+      [&](const Town& town, const std::vector<Town::Event>& way) {
+        found.ended += town.told().empty() ? 0 : 1;
+        found.sent_twice += town.sent() > 1 ? 1 : 0;
+        if (town.broken().empty()) return true;
+        found.broken = town.broken();
+        for (const Town::Event& event : way) found.way += "\n  " + event.Text();
+        return false;
+      },
+      most);
+  return found;
+}
+
+#if defined(__SANITIZE_ADDRESS__)
+constexpr std::size_t kMost = 60'000;
+#else
+constexpr std::size_t kMost = 300'000;
+#endif
+
+// All states, if PEATBEND_LONG is set; else so many of them.
+void HoldsIn(const std::string& name, const TownSetup& setup, std::size_t most = kMost) {
+  bool all = std::getenv("PEATBEND_LONG") != nullptr;
+  auto from = std::chrono::steady_clock::now();
+  Found found = Explore(setup, all ? ~std::size_t{0} : most);
+  std::chrono::duration<double> took = std::chrono::steady_clock::now() - from;
+  std::cout << name << ": " << found.states << " states"
+            << (all || found.states < most ? ", all there are" : "") << ", " << found.ended
+            << " with an end told, " << found.sent_twice << " with a second attempt, " << took.count()
+            << " s\n";
+  EXPECT_EQ(found.broken, "") << found.way;
+  EXPECT_GT(found.states, 15'000u);
+  EXPECT_GT(found.ended, 0u);
+}
+
+void IsCaught(Mutant mutant, TownSetup setup, const std::string& rule) {
+  setup.mutant = mutant;
+  Found found = Explore(setup, 5'000'000);
+  EXPECT_TRUE(found.broken.starts_with(rule))
+      << "found: " << found.broken << " in " << found.states << " states" << found.way;
+}
+
+TEST(Takeover, OneRouterGoesOn) { HoldsIn("one goes on", {.back = false, .lost_dials = false}); }
+TEST(Takeover, TheFormerOwnerComesBack) { HoldsIn("owner back", {.lost_dials = false}); }
+TEST(Takeover, AttemptsThatNeverRan) { HoldsIn("never ran", {}); }
+TEST(Takeover, KeyedWorkAndItsWindow) {
+  HoldsIn("keyed", {.effect = Effect::kKeyed, .passes = 3, .back = false});
+}
+TEST(Takeover, TwoAskersAtOnce) { HoldsIn("two askers", {.second_asker = true}); }
+TEST(Takeover, ASeatStartsAnew) { HoldsIn("seat anew", {.restarts = 1, .lost_dials = false}); }
+TEST(Takeover, TwoSeatsStartAnew) {
+  HoldsIn("two seats anew", {.restarts = 2, .back = false, .lost_dials = false});
+}
+TEST(Takeover, MessagesComeTwice) { HoldsIn("twice", {.twice = 1, .back = false, .lost_dials = false}); }
+TEST(Takeover, PermissionsThatComeLate) { HoldsIn("late", {.passes = 2, .lost_dials = false}); }
+TEST(Takeover, ThreeRouters) { HoldsIn("three routers", {.routers = 3, .back = false, .lost_dials = false}); }
+
+// ---- A seat by itself
+// ---------------------------------------------------------------------------------------
+
+takeover::Message Accept(const std::string& work, const std::string& by, std::uint64_t round,
+                         std::uint32_t version) {
+  takeover::Message message;
+  message.kind = takeover::Kind::kAccept;
+  message.work = work;
+  message.ballot = {round, {by, 1, 1}};
+  message.version = version;
+  takeover::Step step;
+  step.by = message.ballot.author;
+  step.number = version;
+  step.server = "m";
+  message.state.steps.push_back(step);
+  return message;
+}
+
+TEST(Takeover, ASeatThatIsFullRefusesAndForgetsNothing) {
+  takeover::Holder holder({.life = 1s, .bytes = 1500}, -10s);
+  int kept = 0;
+  for (int i = 0; i < 10; ++i)
+    kept += holder.Take(0s, Accept("w" + std::to_string(i), "a", 0, 1)).kind == takeover::Kind::kAccepted;
+  EXPECT_GT(kept, 1);
+  EXPECT_LT(kept, 10);
+  EXPECT_EQ(holder.records(), static_cast<std::size_t>(kept));
+  EXPECT_LE(holder.bytes(), 1500u);
+  EXPECT_EQ(holder.Take(0s, Accept("more", "a", 0, 1)).refusal, takeover::Refusal::kFull);
+  EXPECT_EQ(holder.Take(0s, Accept("w0", "b", 0, 1)).refusal, takeover::Refusal::kTaken);
+  holder.Forget(999ms);
+  EXPECT_EQ(holder.records(), static_cast<std::size_t>(kept));
+  holder.Forget(1s);
+  EXPECT_EQ(holder.records(), 0u);
+  EXPECT_EQ(holder.bytes(), 0u);
+}
+
+TEST(Takeover, ASeatThatHasJustStartedVotesForNothing) {
+  takeover::Holder holder({.life = 1s}, 0s);
+  EXPECT_EQ(holder.Take(999ms, Accept("w", "a", 0, 1)).refusal, takeover::Refusal::kYoung);
+  EXPECT_EQ(holder.records(), 0u);
+  EXPECT_EQ(holder.Take(1s, Accept("w", "a", 0, 1)).kind, takeover::Kind::kAccepted);
+}
+
+// Also of one process: what it wrote in a former go, of which it knows nothing more, is not its own.
+TEST(Takeover, ASecondGoOfTheSameProcessIsAnother) {
+  takeover::Holder holder({}, -1h);
+  EXPECT_EQ(holder.Take(0s, Accept("w", "a", 0, 1)).kind, takeover::Kind::kAccepted);
+  takeover::Message again = Accept("w", "a", 0, 1);
+  again.ballot.author.go = 2;
+  EXPECT_EQ(holder.Take(0s, again).refusal, takeover::Refusal::kTaken);
+}
+
+const TownSetup kSmall{.back = false, .lost_dials = false};
+TownSetup With(TownSetup setup, int restarts, int passes) {
+  setup.restarts = restarts;
+  setup.passes = passes;
+  return setup;
+}
+
+TEST(Takeover, MutantNoPromiseAsked) { IsCaught(Mutant::kNoPromise, kSmall, "unsafe work sent twice"); }
+TEST(Takeover, MutantPromiseForgottenAtRestart) {
+  IsCaught(Mutant::kForgotten, With(kSmall, 1, 0), "two ends");
+}
+TEST(Takeover, MutantWindowCountedAnew) {
+  TownSetup setup = With(kSmall, 0, 3);
+  setup.effect = Effect::kKeyed;
+  IsCaught(Mutant::kWindowAnew, setup, "keyed work sent again after its window");
+}
+TEST(Takeover, MutantTwoOwnersAnswer) { IsCaught(Mutant::kTellsFirst, kSmall, "two ends"); }
+TEST(Takeover, MutantOldPermissionUsed) {
+  IsCaught(Mutant::kOldPermission, With(kSmall, 0, 1), "sent what had ended");
+}
+TEST(Takeover, MutantSentBeforeTheRecordStands) {
+  IsCaught(Mutant::kSendsFirst, kSmall, "unsafe work sent twice");
+}
+TEST(Takeover, MutantOneSeatIsTakenForTwo) { IsCaught(Mutant::kOneSeat, kSmall, "two ends"); }
+TEST(Takeover, MutantOneOfTwoFirstWritersIsRead) {
+  TownSetup setup = kSmall;
+  setup.second_asker = true;
+  IsCaught(Mutant::kOneAuthor, setup, "unsafe work sent twice");
+}
+
+}  // namespace
+}  // namespace peatbend::orders
