Hold work in hand at a desk: ask, wait, take over, give up

Need: the record says what may happen to work in hand; something has to say when to ask again, whom to wait for, and when to answer without it.

Change: Desk (all the work of one router, and its seat in others' records), Look (reads a record without a promise), Seats (rendezvous over the settings' names, zones apart), MessagePack for the messages; the reader of foreign bytes is shared with peers. Peers' messages have a kind for cargo.

--- /dev/null
+++ b/src/base/packed.h
@@ -0,0 +1,83 @@
+// Reading MessagePack that a stranger may have written: arrays of fields, taken one after another.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace peatbend::net {
+
+constexpr std::uint64_t kAny = ~std::uint64_t{0};
+
+// Ends the reading of what is nested deeper than any message, before it costs stack.
+class DepthGuard : public nlohmann::json_sax<nlohmann::json> {
+ public:
+  explicit DepthGuard(int deepest) : deepest_(deepest) {}
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= deepest_; }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return depth_-- > 0; }
+  bool start_array(std::size_t) override { return ++depth_ <= deepest_; }
+  bool end_array() override { return depth_-- > 0; }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  int deepest_, depth_ = 0;
+};
+
+// Takes the fields of an array one after another; fails once and for all at the first that does not fit.
+class Fields {
+ public:
+  explicit Fields(const nlohmann::json& array) : array_(array), fine_(array.is_array()) {}
+  template <typename T>
+  Fields& Number(T& into, std::uint64_t most) {
+    const nlohmann::json* at = Next();
+    if (at == nullptr || !at->is_number_unsigned() || at->get<std::uint64_t>() > most) return Fail();
+    into = static_cast<T>(at->get<std::uint64_t>());
+    return *this;
+  }
+  Fields& Flag(bool& into) {
+    const nlohmann::json* at = Next();
+    if (at == nullptr || !at->is_boolean()) return Fail();
+    into = at->get<bool>();
+    return *this;
+  }
+  Fields& Text(std::string& into, std::size_t most) {
+    const nlohmann::json* at = Next();
+    if (at == nullptr || !at->is_string()) return Fail();
+    const auto& text = at->get_ref<const std::string&>();
+    if (text.size() > most) return Fail();
+    into = text;
+    return *this;
+  }
+  Fields& Blob(std::string& into, std::size_t most) {
+    const nlohmann::json* at = Next();
+    if (at == nullptr || !at->is_binary() || at->get_binary().size() > most) return Fail();
+    into.assign(at->get_binary().begin(), at->get_binary().end());
+    return *this;
+  }
+  const nlohmann::json* Next() {
+    if (!fine_ || place_ >= array_.size()) return nullptr;
+    return &array_[place_++];
+  }
+  bool fine() const { return fine_; }
+
+ private:
+  Fields& Fail() {
+    fine_ = false;
+    return *this;
+  }
+  const nlohmann::json& array_;
+  std::size_t place_ = 0;
+  bool fine_;
+};
+
+}  // namespace peatbend::net
--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -2,36 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/packed.h"
+
 namespace peatbend::peers {
 namespace {
 
+using net::DepthGuard;
+using net::Fields;
+using net::kAny;
 using nlohmann::json;
 
 constexpr int kDeepest = 3;  // message, records, record
-
-// Ends the reading of what is nested deeper than any message, before it costs stack.
-class DepthGuard : public nlohmann::json_sax<json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kDeepest; }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return depth_-- > 0; }
-  bool start_array(std::size_t) override { return ++depth_ <= kDeepest; }
-  bool end_array() override { return depth_-- > 0; }
-  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
-    return false;
-  }
-
- private:
-  int depth_ = 0;
-};
-
 json::binary_t Bytes(const std::string& text) { return json::binary_t({text.begin(), text.end()}); }
 
 json ToJson(const Record& r) {
@@ -39,55 +20,6 @@
                       r.zone, r.version, r.serves, json::binary(Bytes(r.note))});
 }
 
-// Takes the fields of an array one after another; fails once and for all at the first that does not fit.
-class Fields {
- public:
-  explicit Fields(const json& array) : array_(array), fine_(array.is_array()) {}
-  template <typename T>
-  Fields& Number(T& into, std::uint64_t most) {
-    const json* at = Next();
-    if (at == nullptr || !at->is_number_unsigned() || at->get<std::uint64_t>() > most) return Fail();
-    into = static_cast<T>(at->get<std::uint64_t>());
-    return *this;
-  }
-  Fields& Flag(bool& into) {
-    const json* at = Next();
-    if (at == nullptr || !at->is_boolean()) return Fail();
-    into = at->get<bool>();
-    return *this;
-  }
-  Fields& Text(std::string& into, std::size_t most) {
-    const json* at = Next();
-    if (at == nullptr || !at->is_string()) return Fail();
-    const auto& text = at->get_ref<const std::string&>();
-    if (text.size() > most) return Fail();
-    into = text;
-    return *this;
-  }
-  Fields& Blob(std::string& into, std::size_t most) {
-    const json* at = Next();
-    if (at == nullptr || !at->is_binary() || at->get_binary().size() > most) return Fail();
-    into.assign(at->get_binary().begin(), at->get_binary().end());
-    return *this;
-  }
-  const json* Next() {
-    if (!fine_ || place_ >= array_.size()) return nullptr;
-    return &array_[place_++];
-  }
-  bool fine() const { return fine_; }
-
- private:
-  Fields& Fail() {
-    fine_ = false;
-    return *this;
-  }
-  const json& array_;
-  std::size_t place_ = 0;
-  bool fine_;
-};
-
-constexpr std::uint64_t kAny = ~std::uint64_t{0};
-
 bool Read(const json& from, Record& r) {
   Fields fields(from);
   fields.Text(r.name, kMostName).Number(r.life, kAny).Number(r.birth, kAny).Number(r.claim, 0xffffffffu);
@@ -106,6 +38,7 @@
       json::array({kVersion, kVersion, m.fleet, static_cast<unsigned>(m.kind), m.from, m.reply, m.life,
                    m.birth, m.number, m.probe, m.digest, m.member, static_cast<unsigned>(m.you), m.target,
                    m.target_address, m.target_life, std::move(records)});
+  if (m.kind == Kind::kCargo) array.push_back(json::binary(Bytes(m.cargo)));
   std::string bytes;
   json::to_msgpack(array, bytes);
   return bytes;
@@ -118,7 +51,7 @@
 
 Fault Decode(std::string_view bytes, std::size_t most, std::string_view fleet, Message& m) {
   if (bytes.size() > most) return Fault::kOversized;
-  DepthGuard guard;
+  DepthGuard guard(kDeepest);
   if (!json::sax_parse(bytes, &guard, json::input_format_t::msgpack)) return Fault::kMalformed;
   json array = json::from_msgpack(bytes, true, false);
   if (array.is_discarded()) return Fault::kMalformed;
@@ -131,7 +64,7 @@
   if (least > static_cast<unsigned>(kVersion)) return Fault::kVersion;
   m = {};
   m.fleet = its_fleet;
-  fields.Number(m.kind, static_cast<std::uint64_t>(Kind::kTable))
+  fields.Number(m.kind, static_cast<std::uint64_t>(Kind::kCargo))
       .Text(m.from, kMostName)
       .Text(m.reply, kMostName);
   fields.Number(m.life, kAny).Number(m.birth, kAny).Number(m.number, kAny).Number(m.probe, kAny);
@@ -143,6 +76,7 @@
   for (const json& one : *records) {
     if (!Read(one, m.records.emplace_back())) return Fault::kMalformed;
   }
+  if (m.kind == Kind::kCargo && !fields.Blob(m.cargo, kMostCargo).fine()) return Fault::kMalformed;
   return Fault::kNone;
 }
 
--- a/src/peers/message.h
+++ b/src/peers/message.h
@@ -12,9 +12,9 @@
 
 namespace peatbend::peers {
 
-enum class Kind : std::uint8_t { kPing, kAck, kAskPing, kNoAnswer, kGossip, kJoin, kTable };
+enum class Kind : std::uint8_t { kPing, kAck, kAskPing, kNoAnswer, kGossip, kJoin, kTable, kCargo };
 
-constexpr const char* kKindNames[] = {"ping", "ack", "ask-ping", "no-answer", "gossip", "join", "table"};
+constexpr const char* kKindNames[] = {"ping", "ack", "ask-ping", "no-answer", "gossip", "join", "table", "cargo"};
 
 // What the sender holds the receiver for.
 enum class You : std::uint8_t { kUnknown, kPresent, kGone };
@@ -32,13 +32,14 @@
   std::string target, target_address;  // ask-ping: who is to be asked; its answer: who has answered
   std::uint64_t target_life = 0;
   std::vector<Record> records;
+  std::string cargo;  // what other parts of the program say to their like
   bool operator==(const Message&) const = default;
 };
 
 constexpr int kVersion = 1;
 // Bytes. A datagram stays below what a path may cut up.
 constexpr std::size_t kMostDatagram = 1400, kMostStream = 4u << 20;
-constexpr std::size_t kMostRecords = 4096;
+constexpr std::size_t kMostRecords = 4096, kMostCargo = 1u << 20;
 
 std::string Encode(const Message& message);
 // About as many bytes as Encode makes of it; never fewer.
--- a/src/takeover/claim.cpp
+++ b/src/takeover/claim.cpp
@@ -112,8 +112,10 @@
     state_.steps.insert(state_.steps.end(), other.steps.begin(), other.steps.end());
     bool others = other.end == End::kValue || (other.end == End::kFailed && state_.end != End::kValue);
     if (others) state_.value = other.value;
+    if (others) state_.kept = other.kept;
     if (others) state_.end = other.end;
     if (!state_.final()) state_.end = End::kNone;
+    state_.let_go = state_.let_go && other.let_go;
   }
   std::ranges::sort(state_.steps);
 }
--- a/src/takeover/custody.cpp
+++ b/src/takeover/custody.cpp
@@ -25,6 +25,12 @@
   return known;
 }
 
+bool Custody::MayHaveRun() const {
+  return std::ranges::any_of(claim_.state().steps, [this](const Step& step) {
+    return step.by == claim_.author() ? may_have_run_.contains(step.number) : step.may_have_run;
+  });
+}
+
 bool Custody::RanElsewhere() const {
   return std::ranges::any_of(claim_.state().steps, [this](const Step& step) {
     return step.by != claim_.author() && step.may_have_run;
@@ -42,6 +48,7 @@
   if (next.final() || claim_.phase() == Claim::Phase::kLost || claim_.phase() == Claim::Phase::kAsking)
     return;
   next.end = End::kNone;  // a reject is over with the next who asks
+  next.let_go = false;
   server_ = server;
   next.steps.push_back({claim_.author(), ++number_, server, true});
   Write(now, std::move(next), out);
@@ -49,20 +56,32 @@
 
 void Custody::NeverRan() { may_have_run_.erase(sent_); }
 
-void Custody::Finish(Time now, End end, std::string value, std::vector<Claim::Out>& out) {
+void Custody::Finish(Time now, End end, std::string value, std::vector<Claim::Out>& out, bool kept) {
   server_.clear();
   end_ = end;
   value_ = std::move(value);
+  kept_ = kept;
   if (claim_.phase() == Claim::Phase::kLost) return TakeOver(now, out);
   if (claim_.phase() == Claim::Phase::kAsking) return;  // once it is read
   State next = Known();
   if (!next.final()) {
     next.end = end_;
     next.value = value_;
+    next.kept = kept_;
+    next.let_go = false;
   }
   Write(now, std::move(next), out);
 }
 
+void Custody::LetGo(Time now, std::vector<Claim::Out>& out) {
+  server_.clear();
+  bool wrote = claim_.phase() == Claim::Phase::kWriting || claim_.phase() == Claim::Phase::kHolding;
+  State next = Known();
+  if (!wrote || next.final()) return;
+  next.let_go = true;
+  Write(now, std::move(next), out);
+}
+
 void Custody::TakeOver(Time now, std::vector<Claim::Out>& out) {
   server_.clear();
   claim_.Ask(now, out);
@@ -86,7 +105,7 @@
     case Claim::Phase::kRead:
       if (end_ == End::kRejected && RanElsewhere()) end_ = End::kFailed;
       if (end_ != End::kNone || claim_.state().final()) {
-        Finish(now, end_, value_, out);
+        Finish(now, end_, value_, out, kept_);
         return Verdict::kNothing;
       }
       return Verdict::kRead;
@@ -103,6 +122,7 @@
   takeover::Put(into, server_);
   takeover::Put(into, static_cast<std::uint64_t>(end_));
   takeover::Put(into, value_);
+  takeover::Put(into, kept_);
   takeover::Put(into, number_);
   takeover::Put(into, sent_);
   for (std::uint32_t number : may_have_run_) takeover::Put(into, number);
--- a/src/takeover/custody.h
+++ b/src/takeover/custody.h
@@ -46,7 +46,9 @@
   // The attempt that was permitted last turned out to never have run.
   void NeverRan();
   // The end is wanted. Where the work was lost meanwhile it is taken back first, if nobody has ended it.
-  void Finish(Time now, End end, std::string value, std::vector<Claim::Out>& out);
+  void Finish(Time now, End end, std::string value, std::vector<Claim::Out>& out, bool kept = true);
+  // Nothing more is done for it here; whoever asks may take it over at once.
+  void LetGo(Time now, std::vector<Claim::Out>& out);
   // Tries to take the work over, or to learn its end.
   void TakeOver(Time now, std::vector<Claim::Out>& out);
   // Once more to those who have not answered.
@@ -57,6 +59,8 @@
   const State& state() const { return claim_.state(); }
   // What stands, with what this process knows of its own steps beyond it.
   State Known() const;
+  // Whether an attempt may have run, as far as is known here: the one that is wanted now has not.
+  bool MayHaveRun() const;
   bool taken() const { return claim_.taken(); }
   std::uint32_t sent() const { return sent_; }  // the step that was permitted last
   void Put(std::string& into) const;            // see Claim::Put; without what belongs to a seat
@@ -70,6 +74,7 @@
   std::string server_;  // wanted and not yet permitted
   End end_ = End::kNone;
   std::string value_;
+  bool kept_ = true;
   std::uint32_t number_ = 0, sent_ = 0;
   std::set<std::uint32_t> may_have_run_;  // own steps that were permitted
 };
--- a/src/takeover/holder.cpp
+++ b/src/takeover/holder.cpp
@@ -32,10 +32,20 @@
   return weight;
 }
 
+Message Holder::Tell(Time now, Kind kind, const Message& asked, const Slot& slot) const {
+  Message answer = Answer(kind, asked);
+  answer.kept = slot.kept;
+  answer.version = slot.version;
+  answer.state = slot.state;
+  if (!slot.state.steps.empty()) answer.age = now - slot.first;
+  return answer;
+}
+
 Message Holder::Take(Time now, const Message& asked) {
   if (young(now)) return Refuse(asked, Refusal::kYoung);
   auto at = slots_.find(asked.work);
   bool fresh = at == slots_.end();
+  if (asked.kind == Kind::kLook) return Tell(now, Kind::kSeen, asked, fresh ? Slot{} : at->second);
   if (!fresh) {
     const Slot& slot = at->second;
     const Ballot& highest = std::max(slot.promised, slot.kept);
@@ -56,12 +66,7 @@
   slot.promised = std::max(slot.promised, asked.ballot);
   if (asked.kind == Kind::kPrepare) {
     if (fresh) bytes_ += after;
-    Message answer = Answer(Kind::kPromise, asked);
-    answer.kept = slot.kept;
-    answer.version = slot.version;
-    answer.state = slot.state;
-    if (!slot.state.steps.empty()) answer.age = now - slot.first;
-    return answer;
+    return Tell(now, Kind::kPromise, asked, slot);
   }
   // A write that comes again, or late, after a later one of the same ballot: it stands, since that one was
   // built upon it.
--- a/src/takeover/holder.h
+++ b/src/takeover/holder.h
@@ -21,7 +21,7 @@
   // `now`: of the process's start.
   Holder(Keep keep, Time now) : keep_(keep), started_(now) {}
 
-  // The answer to a prepare or an accept.
+  // The answer to a prepare, an accept or a look.
   Message Take(Time now, const Message& asked);
   // Drops the records whose life is over; to be called now and then.
   void Forget(Time now);
@@ -40,6 +40,7 @@
   void Put(std::string& into) const;  // see Claim::Put; but for when records end
 
  private:
+  Message Tell(Time now, Kind kind, const Message& asked, const Slot& slot) const;
   static std::size_t Weight(const std::string& work, const State& state);
   Keep keep_;
   Time started_;
--- a/src/takeover/record.cpp
+++ b/src/takeover/record.cpp
@@ -22,6 +22,7 @@
 std::string Text(const State& state) {
   std::string text = kEndNames[static_cast<int>(state.end)];
   if (!state.value.empty()) text += " " + state.value;
+  if (state.let_go) text += " let go";
   for (const Step& step : state.steps) {
     text += fmt::format(", {} #{} at {}{}", Name(step.by), step.number, step.server,
                         step.may_have_run ? "" : " (never ran)");
@@ -31,9 +32,10 @@
 
 std::string Text(const Message& m) {
   std::string text = fmt::format("{} {} by {}", kKindNames[static_cast<int>(m.kind)], m.work, Text(m.ballot));
-  if (m.kind == Kind::kPromise && m.version > 0) text += " kept " + Text(m.kept);
+  bool tells = m.kind == Kind::kPromise || m.kind == Kind::kSeen;
+  if (tells && m.version > 0) text += " kept " + Text(m.kept);
   if (m.version > 0) text += fmt::format(" v{}", m.version);
-  if (m.kind == Kind::kAccept || m.kind == Kind::kPromise)
+  if (m.kind == Kind::kAccept || tells)
     text += fmt::format(" [{}] age {} ms", Text(m.state), m.age / std::chrono::milliseconds(1));
   if (m.kind == Kind::kRefused)
     text += fmt::format(": {}, promised {}", kRefusalNames[static_cast<int>(m.refusal)], Text(m.promised));
@@ -62,7 +64,7 @@
     Put(into, step.server);
     Put(into, step.may_have_run);
   }
-  Put(into, static_cast<std::uint64_t>(state.end));
+  Put(into, static_cast<std::uint64_t>(state.end) + (state.kept ? 0 : 16) + (state.let_go ? 32 : 0));
   Put(into, state.value);
 }
 
--- a/src/takeover/record.h
+++ b/src/takeover/record.h
@@ -45,13 +45,16 @@
   std::vector<Step> steps;
   End end = End::kNone;
   std::string value;
+  bool kept = true;     // false: the value was too large to be kept
+  bool let_go = false;  // its owner lives and does nothing more for it
   bool operator==(const State&) const = default;
   // Told to one, it is the end for all. A reject says: ask again; so it ends only what was asked before.
   bool final() const { return end == End::kValue || end == End::kFailed; }
 };
 
-enum class Kind : std::uint8_t { kPrepare, kAccept, kPromise, kAccepted, kRefused };
-constexpr const char* kKindNames[] = {"prepare", "accept", "promise", "accepted", "refused"};
+// Look and seen: what a seat keeps, without a promise.
+enum class Kind : std::uint8_t { kPrepare, kAccept, kPromise, kAccepted, kRefused, kLook, kSeen };
+constexpr const char* kKindNames[] = {"prepare", "accept", "promise", "accepted", "refused", "look", "seen"};
 
 enum class Refusal : std::uint8_t {
   kNone,
@@ -65,11 +68,11 @@
   Kind kind = Kind::kPrepare;
   std::string work;
   Ballot ballot;  // of the one who asks, also in the answer
-  // accept: what is to be kept. promise: what was kept last, if anything.
+  // accept: what is to be kept. promise, seen: what was kept last, if anything.
   Ballot kept;
   std::uint32_t version = 0;  // of the writes under one ballot; 0: nothing is kept
   State state;
-  Span age{};  // accept, promise: since the first step was recorded, at the least; zero without a step
+  Span age{};  // accept, promise, seen: since the first step was recorded, at the least; zero without a step
   Refusal refusal = Refusal::kNone;
   Ballot promised;  // refused: what stands against it
   bool operator==(const Message&) const = default;
--- /dev/null
+++ b/src/takeover/wire.h
@@ -0,0 +1,23 @@
+// What holders and owners say to each other, as bytes: MessagePack, several messages at a time.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "takeover/record.h"
+
+namespace peatbend::takeover {
+
+constexpr std::size_t kMostTogether = 256, kMostSteps = 64, kMostWork = 512, kMostValue = 256u << 10;
+
+// `seats`: Seats::print() of the sender; who reckons with other seats is not listened to.
+std::string Encode(std::uint64_t seats, const std::vector<Message>& messages);
+// About as many bytes as Encode makes of it; never fewer.
+std::size_t SizeOf(const Message& message);
+
+enum class Fault { kNone, kMalformed, kSeats };
+// Reads what a stranger may have written. Never throws; `messages` is whole where there is no fault.
+Fault Decode(std::string_view bytes, std::uint64_t seats, std::vector<Message>& messages);
+
+}  // namespace peatbend::takeover
--- a/tests/orders/takeover_test.cpp
+++ b/tests/orders/takeover_test.cpp
@@ -3,9 +3,12 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <map>
+#include <set>
 
 #include "orders/orders.h"
 #include "orders/takeover_town.h"
+#include "takeover/seats.h"
 
 namespace peatbend::orders {
 namespace {
@@ -38,16 +41,15 @@
 constexpr std::size_t kMost = 300'000;
 #endif
 
-// All states, if PEATBEND_LONG is set; else so many of them.
+// So many states, or as many as PEATBEND_LONG says, or all there are.
 void HoldsIn(const std::string& name, const TownSetup& setup, std::size_t most = kMost) {
-  bool all = std::getenv("PEATBEND_LONG") != nullptr;
+  if (const char* more = std::getenv("PEATBEND_LONG")) most = std::strtoull(more, nullptr, 10);
   auto from = std::chrono::steady_clock::now();
-  Found found = Explore(setup, all ? ~std::size_t{0} : most);
+  Found found = Explore(setup, most);
   std::chrono::duration<double> took = std::chrono::steady_clock::now() - from;
-  std::cout << name << ": " << found.states << " states"
-            << (all || found.states < most ? ", all there are" : "") << ", " << found.ended
-            << " with an end told, " << found.sent_twice << " with a second attempt, " << took.count()
-            << " s\n";
+  std::cout << name << ": " << found.states << " states" << (found.states < most ? ", all there are" : "")
+            << ", " << found.ended << " with an end told, " << found.sent_twice << " with a second attempt, "
+            << took.count() << " s\n";
   EXPECT_EQ(found.broken, "") << found.way;
   EXPECT_GT(found.states, 15'000u);
   EXPECT_GT(found.ended, 0u);
@@ -74,6 +76,7 @@
 TEST(Takeover, MessagesComeTwice) { HoldsIn("twice", {.twice = 1, .back = false, .lost_dials = false}); }
 TEST(Takeover, PermissionsThatComeLate) { HoldsIn("late", {.passes = 2, .lost_dials = false}); }
 TEST(Takeover, ThreeRouters) { HoldsIn("three routers", {.routers = 3, .back = false, .lost_dials = false}); }
+TEST(Takeover, OneLooksOn) { HoldsIn("one looks on", {.looks = 2, .back = false, .lost_dials = false}); }
 
 // ---- A seat by itself
 // ---------------------------------------------------------------------------------------
@@ -127,6 +130,43 @@
   EXPECT_EQ(holder.Take(0s, again).refusal, takeover::Refusal::kTaken);
 }
 
+TEST(Takeover, SeatsAreSpreadAndHangOnNothingButTheirNames) {
+  std::vector<takeover::SeatName> names;
+  for (int i = 0; i < 20; ++i) names.push_back({"r" + std::to_string(i), i % 2 == 0 ? "east" : "west"});
+  takeover::Seats seats(names);
+  std::ranges::reverse(names);
+  takeover::Seats other(names);
+  std::map<std::size_t, int> chosen;
+  for (int i = 0; i < 2000; ++i) {
+    std::string work = "work " + std::to_string(i);
+    auto of = seats.Of(work);
+    EXPECT_EQ(of, other.Of(work));
+    EXPECT_NE(seats.all()[of[0]].zone, seats.all()[of[1]].zone);
+    EXPECT_EQ(std::set<std::size_t>(of.begin(), of.end()).size(), takeover::kSeats);
+    for (std::size_t seat : of) ++chosen[seat];
+  }
+  for (const auto& [seat, times] : chosen) {
+    EXPECT_GT(times, 220) << seat;  // 300 each, if evenly
+    EXPECT_LT(times, 380) << seat;
+  }
+  EXPECT_EQ(seats.print(), other.print());
+  // With one seat more a record keeps its seats, but where the new one is among them.
+  names.push_back({"r20", "east"});
+  takeover::Seats more(names);
+  int kept = 0;
+  for (int i = 0; i < 2000; ++i) {
+    std::string work = "work " + std::to_string(i);
+    auto before = seats.Of(work), after = more.Of(work);
+    bool same = true;
+    for (std::size_t n = 0; n < takeover::kSeats; ++n)
+      same = same && seats.all()[before[n]] == more.all()[after[n]];
+    kept += same ? 1 : 0;
+  }
+  EXPECT_GT(kept, 1600);
+  EXPECT_THROW(takeover::Seats({{"a", ""}, {"b", ""}}), std::invalid_argument);
+  EXPECT_THROW(takeover::Seats({{"a", ""}, {"b", ""}, {"a", "x"}}), std::invalid_argument);
+}
+
 const TownSetup kSmall{.back = false, .lost_dials = false};
 TownSetup With(TownSetup setup, int restarts, int passes) {
   setup.restarts = restarts;
--- a/tests/orders/takeover_town.h
+++ b/tests/orders/takeover_town.h
@@ -17,6 +17,7 @@
 #include "lab/rules.h"
 #include "takeover/custody.h"
 #include "takeover/holder.h"
+#include "takeover/look.h"
 
 namespace peatbend::orders {
 
@@ -47,6 +48,7 @@
   int restarts = 0;           // of seats
   int deaths = 0;    // of routers; one that hears nothing more is as good as dead, so these add no order
   int twice = 0;     // messages that are delivered twice
+  int looks = 0;     // by one who waits for the end, and takes no part
   int passes = 0;    // times that a while passes
   bool back = true;  // the first router, too, may take the work back
   bool lost_dials = true;  // attempts may turn out to never have run
@@ -70,7 +72,9 @@
   };
 
   explicit Town(TownSetup setup)
-      : setup_(setup), budget_{setup.restarts, setup.deaths, setup.twice, setup.passes} {
+      : setup_(setup),
+        looker_("w", {"looker", 7, 1}),
+        budget_{setup.restarts, setup.deaths, setup.twice, setup.passes, setup.looks} {
     cls_.effect = setup.effect;
     cls_.window = kWindow;
     for (std::size_t s = 0; s < takeover::kSeats; ++s) {
@@ -144,6 +148,14 @@
         t.seats_[s] = Of(Seat{takeover::Holder({}, started), 0});
       });
     }
+    if (budget_.looks > 0)
+      may("one looks", [](Town& t) {
+        --t.budget_.looks;
+        t.seen_.fill(0);
+        Outs out;
+        t.looker_.Ask(out);
+        for (Claim::Out& one : out) t.Post(true, t.routers_.size(), one.seat, std::move(one.message));
+      });
     if (budget_.passes > 0)
       may("time passes", [](Town& t) {
         --t.budget_.passes;
@@ -158,6 +170,7 @@
     for (std::size_t s = 0; s < of.size(); ++s) {
       of[s].push_back(seats_[s]->print);
       for (const auto& router : routers_) of[s].push_back(router->of_seat[s]);
+      of[s].push_back(seen_[s]);
     }
     for (const auto& parcel : bag_) of[parcel->seat].push_back(parcel->print);
     std::array<std::uint64_t, takeover::kSeats> prints;
@@ -167,7 +180,8 @@
     std::vector<std::uint64_t> all(prints.begin(), prints.end());
     auto add = [&](auto value) { all.push_back(static_cast<std::uint64_t>(value)); };
     for (const auto& router : routers_) add(router->print);
-    for (int each : {budget_.restarts, budget_.deaths, budget_.twice, budget_.passes}) add(each);
+    for (int each : {budget_.restarts, budget_.deaths, budget_.twice, budget_.passes, budget_.looks})
+      add(each);
     add(now_.count());
     for (const Sent& sent : sent_) add(sent.at.count()), add(sent.by), add(sent.ran);
     add(told_at_.count());
@@ -201,7 +215,7 @@
     int ran;  // 1: may have; 0: never
   };
   struct Budget {
-    int restarts, deaths, twice, passes;
+    int restarts, deaths, twice, passes, looks;
   };
 
   static std::uint64_t Hash(const std::string& text) { return XXH3_64bits(text.data(), text.size()); }
@@ -236,6 +250,7 @@
   }
   // A seat would change nothing, now or ever, and say nothing that its asker does not know or passes over.
   bool Idle(const Parcel& parcel) const {
+    if (parcel.message.kind == takeover::Kind::kLook) return false;
     const auto& slots = seats_[parcel.seat]->holder.slots();
     if (slots.empty()) return false;
     const auto& slot = slots.begin()->second;
@@ -250,6 +265,7 @@
                         routers_[parcel.router]->custody.claim().Waits(parcel.seat, answer));
   }
   bool Waits(std::size_t r, const Parcel& parcel) const {
+    if (r == routers_.size()) return looker_.Waits(parcel.seat, parcel.message);
     return routers_[r]->alive && routers_[r]->custody.claim().Waits(parcel.seat, parcel.message);
   }
   void Post(bool to_seat, std::size_t r, std::size_t s, Message message) {
@@ -275,6 +291,12 @@
                     [&](const auto& one) { return one->to_seat && one->seat == parcel->seat && Idle(*one); });
       return Stands(parcel->message);
     }
+    if (parcel->router == routers_.size()) {
+      seen_[parcel->seat] = parcel->print;
+      looker_.Take(parcel->seat, parcel->message);
+      if (const takeover::State* end = looker_.End()) Tell(end->end, end->value);
+      return;
+    }
     if (!routers_[parcel->router]->alive) return;
     Change(parcel->router, [&](Router& router, Outs& out) {
       Take(parcel->router, router, parcel->seat, parcel->message, out);
@@ -404,6 +426,8 @@
   }
 
   TownSetup setup_;
+  takeover::Look looker_;
+  std::array<std::uint64_t, takeover::kSeats> seen_{};  // prints of what it was told
   Budget budget_;
   ClassSettings cls_;
   takeover::Time now_{};
--- /dev/null
+++ b/tests/takeover/desk_test.cpp
@@ -0,0 +1,75 @@
+// Fleets of desks under faults, in simulated time.
+#include "doctest/doctest.h"
+#include "takeover/desk_world.h"
+
+namespace peatbend::takeover::test {
+namespace {
+
+DeskWorld::Outcome Play(DeskWorld& world, double per_second, Span lasts, bool kills, bool stalls, bool cuts) {
+  std::size_t all = 0;
+  while (world.desk(all) != nullptr && all < 19) ++all;
+  std::size_t routers = all + 1;
+  Span each = Span(static_cast<Span::rep>(1e9 / per_second));
+  int n = 0;
+  for (Time at = 1s; at < 1s + lasts; at += each, ++n) {
+    world.agenda().At(at, [&world, n] {
+      Effect effect = n % 2 == 0 ? Effect::kKeyed : Effect::kUnsafe;
+      n % 10 == 3 ? world.AskTwice(effect) : world.Ask(effect);
+    });
+  }
+  auto any = [&world, routers] {
+    return static_cast<std::size_t>(world.random().Unit() * static_cast<double>(routers)) % routers;
+  };
+  for (Time at = 2s; kills && at < 1s + lasts; at += 1s) {
+    world.agenda().At(at, [&world, any] {
+      std::size_t r = any();
+      world.Kill(r);
+      world.agenda().In(700ms, [&world, r] { world.Start(r, world.now()); });
+    });
+  }
+  for (Time at = 1500ms; stalls && at < 1s + lasts; at += 700ms)
+    world.agenda().At(at, [&world, any] {
+      std::size_t r = any();
+      if (world.up(r)) world.Stall(r, 400ms + Span(static_cast<Span::rep>(world.random().Unit() * 2e9)));
+    });
+  for (Time at = 1300ms; cuts && at < 1s + lasts; at += 300ms)
+    world.agenda().At(at, [&world, any] {
+      std::size_t from = any(), to = any();
+      world.Cut(from, to, true);
+      world.agenda().In(600ms, [&world, from, to] { world.Cut(from, to, false); });
+    });
+  world.agenda().RunUntil(lasts + 6s);
+  return world.Reckon();
+}
+
+void Right(const DeskWorld::Outcome& outcome) {
+  CHECK(outcome.unsafe_twice == 0);
+  CHECK(outcome.keyed_late == 0);
+  CHECK(outcome.two_ends == 0);
+  CHECK(outcome.unanswered == 0);
+  CHECK(outcome.late == 0);
+}
+
+TEST_CASE("desk: without faults all is served, once") {
+  DeskWorld world({.routers = 5});
+  auto outcome = Play(world, 200, 5s, false, false, false);
+  Right(outcome);
+  CHECK(outcome.asked >= 1000);
+  CHECK(outcome.values == outcome.asked);
+  CHECK(outcome.rejected == 0);
+}
+
+TEST_CASE("desk: kills, stalls, cuts, loss and doubles") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    DeskWorld world({.routers = 20, .seed = seed, .loss = 0.05, .duplicate = 0.05});
+    auto o = Play(world, 200, 20s, true, true, true);
+    Right(o);
+    MESSAGE(fmt::format("asked {} values {} failed {} rejects {}; router lost {}, of them ended {}", o.asked,
+                        o.values, o.failed, o.rejected, o.lost_router, o.of_lost_ended));
+    CHECK(o.lost_router > 5);
+  }
+}
+
+}  // namespace
+}  // namespace peatbend::takeover::test
