Let a seat that starts anew vote by the word of both the others

Need: a process that starts anew has forgotten its promises and did not vote for 7.5 s; with a kill a second in 20 routers two of three seats were often not to be had, and a quarter of the works failed.

Change: who gives its word notes the new life, then sends a copy of all that both keep; answers state the lives that a seat has noted, and two count together only if neither has met a later life of the other. A copy is not taken for what was accepted. In the lab, who lost its router asks the next one.

--- a/src/lab/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -47,6 +47,8 @@
   one.waits = std::min(left, world::FromMs(world::Ms(cls.deadline) * scenario_.gives_up_share));
   if (one.waits <= world::FromMs(1)) return End(request, Outcome::What::kFailed);
   one.router = planned.router;
+  // Who lost its router does not wait for the front: it asks the next.
+  if (state.returned) one.router = (planned.router + number) % scenario_.routers;
   for (int i = 0; i < scenario_.routers && known_down_[static_cast<std::size_t>(one.router)]; ++i)
     one.router = (one.router + 1) % scenario_.routers;
   one.facts = fmt::format("c={},t={},d={}", cls.name,
--- a/src/takeover/claim.cpp
+++ b/src/takeover/claim.cpp
@@ -10,6 +10,7 @@
   asked_ = now;
   taken_ = false;
   yes_ = no_ = {};
+  lives_ = {};
   promises_ = {};
 }
 
@@ -56,7 +57,9 @@
 
 bool Claim::Waits(std::size_t seat, const Message& answer) const {
   if (seat >= kSeats || answer.work != work_ || answer.ballot != Ballot{round_, author_}) return false;
-  if (yes_[seat] || (no_[seat] && answer.kind == Kind::kRefused)) return false;
+  // A seat that has started anew answers again.
+  if (yes_[seat] && answer.lives[seat] <= lives_[seat][seat]) return false;
+  if (answer.kind == Kind::kRefused && (yes_[seat] || no_[seat])) return false;
   if (answer.kind == Kind::kRefused) return InDoubt() && answer.version == version_;
   if (phase_ == Phase::kAsking) return answer.kind == Kind::kPromise;
   // A write before the present one does not stand for it.
@@ -75,49 +78,35 @@
     return true;
   }
   yes_[seat] = true;
+  no_[seat] = false;
+  lives_[seat] = answer.lives;
   if (asking) {
     promises_[seat] = answer;
     // What it was told is older by now than it was when it was asked for: at the most by so much.
     promises_[seat]->age += now - asked_;
   }
-  if (std::ranges::count(yes_, true) < static_cast<long>(kMajority)) return false;
-  if (asking) {
-    Read();
+  for (std::size_t other = 0; other < kSeats; ++other) {
+    if (other == seat || !yes_[other] || !Agree(seat, lives_[seat], other, lives_[other])) continue;
+    if (!asking) return phase_ = Phase::kHolding, true;
+    Read(seat, other);
     first_ = now;
     for (const auto& promise : promises_)
       if (promise && !promise->state.steps.empty()) first_ = std::min(first_, now - promise->age);
     phase_ = Phase::kRead;
-  } else {
-    phase_ = Phase::kHolding;
+    return true;
   }
-  return true;
+  return false;
 }
 
-// The state of the highest ballot. Under round 0 there may be several, of authors that wrote at the same
-// time: one of them at most stands at a majority, and nobody can tell which. What each was about to do may
-// be done, so their steps are put together. Of their ends the one that was made by a value counts first,
-// since only whose step stood can have one; a reject counts for nothing, since the others may have sent.
-void Claim::Read() {
-  const Message* highest = nullptr;
+// The state of the highest ballot; under round 0 there may be several, see Together.
+void Claim::Read(std::size_t one, std::size_t other) {
+  const Message *high = &*promises_[one], *low = &*promises_[other];
   auto kept = [](const Message& promise) { return std::tie(promise.kept, promise.version); };
-  for (const auto& promise : promises_) {
-    if (!promise || promise->version == 0) continue;
-    if (highest == nullptr || kept(*promise) > kept(*highest)) highest = &*promise;
-  }
-  state_ = highest == nullptr ? State{} : highest->state;
-  if (highest == nullptr || highest->kept.round > 0) return;
-  for (const auto& promise : promises_) {
-    if (!promise || promise->version == 0 || promise->kept == highest->kept) continue;
-    const State& other = promise->state;
-    state_.steps.insert(state_.steps.end(), other.steps.begin(), other.steps.end());
-    bool others = other.end == End::kValue || (other.end == End::kFailed && state_.end != End::kValue);
-    if (others) state_.value = other.value;
-    if (others) state_.kept = other.kept;
-    if (others) state_.end = other.end;
-    if (!state_.final()) state_.end = End::kNone;
-    state_.let_go = state_.let_go && other.let_go;
-  }
-  std::ranges::sort(state_.steps);
+  bool none = high->version == 0;
+  if (none || (low->version > 0 && kept(*low) > kept(*high))) std::swap(high, low);
+  state_ = high->state;
+  bool several = low->version > 0 && high->version > 0 && high->kept.round == 0 && low->kept != high->kept;
+  if (several) state_ = Together(high->state, low->state);
 }
 
 void Claim::Put(std::string& into) const {
@@ -133,6 +122,7 @@
 
 void Claim::Put(std::size_t seat, std::string& into) const {
   takeover::Put(into, yes_[seat] + 2u * no_[seat]);
+  for (std::uint64_t life : lives_[seat]) takeover::Put(into, life);
   if (promises_[seat]) takeover::Put(into, *promises_[seat]);
 }
 
--- a/src/takeover/claim.h
+++ b/src/takeover/claim.h
@@ -59,7 +59,7 @@
   Message Write() const;
   bool InDoubt() const { return phase_ == Phase::kAsking || phase_ == Phase::kWriting; }
   void Start(Time now, Phase phase);
-  void Read();
+  void Read(std::size_t one, std::size_t other);
 
   std::string work_;
   Author author_;
@@ -71,6 +71,7 @@
   Ballot met_;
   bool taken_ = false;
   std::array<bool, kSeats> yes_{}, no_{};
+  std::array<Lives, kSeats> lives_{};
   std::array<std::optional<Message>, kSeats> promises_;
 };
 
--- a/src/takeover/desk.cpp
+++ b/src/takeover/desk.cpp
@@ -24,8 +24,18 @@
       self_(std::move(self)),
       life_(life),
       gone_(std::move(gone)),
-      holder_(options.keep, now),
-      forget_at_(now + kForgetEvery) {}
+      holder_(options.keep, now, self_, life,
+              [this](const std::string& work) {
+                std::array<std::string, kSeats> names;
+                auto places = seats_.Of(work);
+                for (std::size_t seat = 0; seat < kSeats; ++seat)
+                  names[seat] = seats_.all()[places[seat]].router;
+                return names;
+              }),
+      forget_at_(now + kForgetEvery),
+      words_at_(now) {
+  for (const SeatName& seat : seats_.all()) names_.push_back(seat.router);
+}
 
 Desk::Errand* Desk::Find(Number number) {
   auto at = gos_.find(number);
@@ -65,8 +75,13 @@
     out_.push_back({from, holder_.Take(now, message)});
     return;
   }
+  if (message.kind == Kind::kAskWord) {
+    for (Message& one : holder_.Word(now, message)) out_.push_back({from, std::move(one)});
+    return;
+  }
   const Author& author = message.ballot.author;
   if (author.name != self_) return;
+  if (message.kind == Kind::kWord || message.kind == Kind::kCopy) return holder_.TakeWord(now, from, message);
   auto at = errands_.find(author.go & ~kLooks);
   if (at == errands_.end()) return;
   Errand& errand = at->second;
@@ -325,6 +340,7 @@
 std::optional<Time> Desk::Due() const {
   std::optional<Time> due;
   if (!due_.empty()) due = due_.begin()->first;
+  if (AsksForWords()) due = due ? std::min(*due, words_at_) : words_at_;
   if (holder_.records() > 0) due = due ? std::min(*due, forget_at_) : forget_at_;
   return due;
 }
@@ -334,6 +350,14 @@
     holder_.Forget(now);
     forget_at_ = now + kForgetEvery;
   }
+  if (now >= words_at_ && AsksForWords()) {
+    words_at_ = now + options_.words_every;
+    std::vector<std::string> wordless =
+        holder_.young(now) ? holder_.Wordless(names_) : std::vector<std::string>();
+    Message ask = holder_.AskWord();
+    for (const std::string& name : wordless) out_.push_back({name, ask});
+    asks_ = !wordless.empty();
+  }
   while (!due_.empty() && due_.begin()->first <= now) TickOne(now, errands_.at(due_.begin()->second));
   Settle(now);
 }
--- a/src/takeover/desk.h
+++ b/src/takeover/desk.h
@@ -8,6 +8,7 @@
 //   watching --its owner is gone, or has let go--> asked
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -29,9 +30,10 @@
   Span stands_within = std::chrono::milliseconds{250};  // a record; else the router is alone
   Span ends_within = std::chrono::milliseconds{500};    // the record of an end
   Span again_every = std::chrono::milliseconds{40}, look_every = std::chrono::milliseconds{50};
-  Span margin = std::chrono::milliseconds{15};  // before the deadline, for the answer's way
-  bool serve_alone = false;                     // else new work is rejected where no majority can be had
-  std::size_t value_bytes = 16u << 10;          // of an end that is kept
+  Span words_every = std::chrono::milliseconds{200};  // asked for after a start
+  Span margin = std::chrono::milliseconds{15};        // before the deadline, for the answer's way
+  bool serve_alone = false;             // else new work is rejected where no majority can be had
+  std::size_t value_bytes = 16u << 10;  // of an end that is kept
   Keep keep;
 };
 
@@ -111,6 +113,10 @@
   using Errands = std::map<std::uint64_t, Errand>;  // by go
 
   Errand* Find(Number number);
+  // After a start, if this is a seat.
+  bool AsksForWords() const {
+    return asks_ && !bare_ && std::find(names_.begin(), names_.end(), self_) != names_.end();
+  }
   bool Over(Time now, const Errand& errand) const { return now >= errand.deadline - options_.margin; }
   void SetDue(Errand& errand, Time due);
   // The same, and in time for its last word.
@@ -142,8 +148,9 @@
   std::map<Number, std::uint64_t> gos_;
   std::set<std::pair<Time, std::uint64_t>> due_;  // an errand's time, and its go
   std::uint64_t last_go_ = 0;
-  bool bare_ = false;
-  Time forget_at_;
+  bool bare_ = false, asks_ = true;  // for the others' word
+  Time forget_at_, words_at_;
+  std::vector<std::string> names_;  // of the seats
   std::vector<Out> out_, local_;
   std::vector<Say> said_;
   Figures figures_;
--- a/src/takeover/look.cpp
+++ b/src/takeover/look.cpp
@@ -29,7 +29,8 @@
     for (std::size_t other = one + 1; other < kSeats; ++other) {
       if (!seen_[one] || !seen_[other] || !seen_[one]->state.final() || !seen_[other]->state.final())
         continue;
-      if (seen_[one]->kept == seen_[other]->kept) return &seen_[one]->state;
+      if (seen_[one]->copied || seen_[other]->copied || seen_[one]->kept != seen_[other]->kept) continue;
+      if (Agree(one, seen_[one]->lives, other, seen_[other]->lives)) return &seen_[one]->state;
     }
   }
   return nullptr;
--- a/src/takeover/record.cpp
+++ b/src/takeover/record.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace peatbend::takeover {
 namespace {
 
@@ -42,6 +44,28 @@
   return text;
 }
 
+State Together(const State& one, const State& other) {
+  State both = one;
+  for (const Step& step : other.steps) {
+    auto same = std::ranges::find_if(
+        both.steps, [&](const Step& s) { return s.by == step.by && s.number == step.number; });
+    if (same == both.steps.end()) {
+      both.steps.push_back(step);
+    } else {
+      same->may_have_run = same->may_have_run && step.may_have_run;  // its author has said so
+    }
+  }
+  std::ranges::sort(both.steps);
+  if (other.end == End::kValue || (other.end == End::kFailed && one.end != End::kValue)) {
+    both.end = other.end;
+    both.value = other.value;
+    both.kept = other.kept;
+  }
+  if (!both.final()) both.end = End::kNone;
+  both.let_go = one.let_go && other.let_go;
+  return both;
+}
+
 void Put(std::string& into, std::uint64_t number) {
   into.append(reinterpret_cast<const char*>(&number), sizeof number);
 }
@@ -78,6 +102,9 @@
   Put(into, static_cast<std::uint64_t>(m.age.count()));
   Put(into, static_cast<std::uint64_t>(m.refusal));
   Put(into, m.promised);
+  for (std::uint64_t life : m.lives) Put(into, life);
+  Put(into, m.copied);
+  for (const std::string& name : m.vouches) Put(into, name);
 }
 
 }  // namespace peatbend::takeover
--- a/src/takeover/record.h
+++ b/src/takeover/record.h
@@ -2,6 +2,7 @@
 // I/O and clocks. docs/design/takeover.md has the argument.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -52,9 +53,22 @@
   bool final() const { return end == End::kValue || end == End::kFailed; }
 };
 
-// Look and seen: what a seat keeps, without a promise.
-enum class Kind : std::uint8_t { kPrepare, kAccept, kPromise, kAccepted, kRefused, kLook, kSeen };
-constexpr const char* kKindNames[] = {"prepare", "accept", "promise", "accepted", "refused", "look", "seen"};
+// Look and seen: what a seat keeps, without a promise. Ask-word, word, copy: a seat that has started anew
+// asks another for its word, which is one message and a copy of each record that both keep.
+enum class Kind : std::uint8_t {
+  kPrepare,
+  kAccept,
+  kPromise,
+  kAccepted,
+  kRefused,
+  kLook,
+  kSeen,
+  kAskWord,
+  kWord,
+  kCopy
+};
+constexpr const char* kKindNames[] = {"prepare", "accept", "promise",  "accepted", "refused",
+                                      "look",    "seen",   "ask-word", "word",     "copy"};
 
 enum class Refusal : std::uint8_t {
   kNone,
@@ -64,6 +78,13 @@
 };
 constexpr const char* kRefusalNames[] = {"none", "taken", "young", "full"};
 
+// So many seats keep each record.
+constexpr std::size_t kSeats = 3, kMajority = 2;
+
+// The lives of a work's seats, as the one who answers knows them: its own, and those that have asked it for
+// its word.
+using Lives = std::array<std::uint64_t, kSeats>;
+
 struct Message {
   Kind kind = Kind::kPrepare;
   std::string work;
@@ -74,7 +95,10 @@
   State state;
   Span age{};  // accept, promise, seen: since the first step was recorded, at the least; zero without a step
   Refusal refusal = Refusal::kNone;
-  Ballot promised;  // refused: what stands against it
+  Ballot promised;      // refused: what stands against it. copy: what was promised
+  Lives lives{};        // promise, accepted, seen
+  bool copied = false;  // seen: it has this by the word of another, and has not been asked to accept it
+  std::vector<std::string> vouches;  // word: for the works of these, beside the two who speak; "*": for all
   bool operator==(const Message&) const = default;
 };
 
@@ -90,7 +114,13 @@
 void Put(std::string& into, const State& state);
 void Put(std::string& into, const Message& message);
 
-// So many seats keep each record.
-constexpr std::size_t kSeats = 3, kMajority = 2;
+// Of two states under round 0, one of which at most stands, nobody can tell which: the steps of both, since
+// what each was about to do may be done. Of their ends the one that was made by a value counts first, since
+// only whose step stood can have one; a reject counts for nothing, since the other may have sent.
+State Together(const State& one, const State& other);
+// Two seats' answers count together only if neither has met a later life of the other.
+inline bool Agree(std::size_t one, const Lives& of_one, std::size_t other, const Lives& of_other) {
+  return of_one[other] <= of_other[other] && of_other[one] <= of_one[one];
+}
 
 }  // namespace peatbend::takeover
--- a/src/takeover/wire.cpp
+++ b/src/takeover/wire.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 constexpr int kDeepest = 6;  // all, messages, message, state, steps, step, author
-constexpr std::size_t kMostName = 64;
+constexpr std::size_t kMostName = 64, kMostVouches = 1024;
 constexpr std::uint64_t kMostAge = 86'400'000'000'000;  // ns: a day
 
 json::binary_t Bytes(const std::string& text) { return json::binary_t({text.begin(), text.end()}); }
@@ -57,14 +57,26 @@
 }
 bool Read(const json& from, Message& m) {
   Fields fields(from);
-  fields.Number(m.kind, static_cast<std::uint64_t>(Kind::kSeen)).Text(m.work, kMostWork);
-  if (!fields.fine() || m.work.empty() || !Read(fields.Next(), m.ballot)) return false;
+  fields.Number(m.kind, static_cast<std::uint64_t>(Kind::kCopy)).Text(m.work, kMostWork);
+  bool of_no_work = m.kind == Kind::kAskWord || m.kind == Kind::kWord;
+  if (!fields.fine() || m.work.empty() != of_no_work || !Read(fields.Next(), m.ballot)) return false;
   std::uint64_t age = 0;
   fields.Number(m.version, 0xffffffffu).Number(age, kMostAge);
   fields.Number(m.refusal, static_cast<std::uint64_t>(Refusal::kFull));
   m.age = Span(age);
-  return fields.fine() && Read(fields.Next(), m.kept) && Read(fields.Next(), m.promised) &&
-         Read(fields.Next(), m.state);
+  if (!fields.fine() || !Read(fields.Next(), m.kept) || !Read(fields.Next(), m.promised) ||
+      !Read(fields.Next(), m.state))
+    return false;
+  for (std::uint64_t& life : m.lives) fields.Number(life, kAny);
+  fields.Flag(m.copied);
+  const json* vouches = fields.Next();
+  if (!fields.fine() || vouches == nullptr || !vouches->is_array() || vouches->size() > kMostVouches)
+    return false;
+  for (const json& one : *vouches) {
+    if (!one.is_string() || one.get_ref<const std::string&>().size() > kMostName) return false;
+    m.vouches.push_back(one.get<std::string>());
+  }
+  return true;
 }
 
 }  // namespace
@@ -72,10 +84,10 @@
 std::string Encode(std::uint64_t seats, const std::vector<Message>& messages) {
   json all = json::array();
   for (const Message& m : messages) {
-    all.push_back(
-        json::array({static_cast<unsigned>(m.kind), m.work, ToJson(m.ballot), m.version,
-                     static_cast<std::uint64_t>(std::max(Span{}, m.age).count()),
-                     static_cast<unsigned>(m.refusal), ToJson(m.kept), ToJson(m.promised), ToJson(m.state)}));
+    all.push_back(json::array({static_cast<unsigned>(m.kind), m.work, ToJson(m.ballot), m.version,
+                               static_cast<std::uint64_t>(std::max(Span{}, m.age).count()),
+                               static_cast<unsigned>(m.refusal), ToJson(m.kept), ToJson(m.promised),
+                               ToJson(m.state), m.lives[0], m.lives[1], m.lives[2], m.copied, m.vouches}));
   }
   std::string bytes;
   json::to_msgpack(json::array({seats, std::move(all)}), bytes);
@@ -84,8 +96,9 @@
 
 std::size_t SizeOf(const Message& m) {
   auto author = [](const Author& one) { return 24 + one.name.size(); };
-  std::size_t size = 64 + m.work.size() + m.state.value.size() + author(m.ballot.author) +
+  std::size_t size = 96 + m.work.size() + m.state.value.size() + author(m.ballot.author) +
                      author(m.kept.author) + author(m.promised.author);
+  for (const std::string& name : m.vouches) size += 2 + name.size();
   for (const Step& step : m.state.steps) size += 16 + author(step.by) + step.server.size();
   return size;
 }
--- a/tests/takeover/desk_world.h
+++ b/tests/takeover/desk_world.h
@@ -162,6 +162,14 @@
     router.until[number] = work.left;
     router.desk->Open(now(), number, work.id, work.cls, work.left);
     router.desk->Want(now(), number, "m" + std::to_string(w % 5));
+    // As the module does when the client's time is over.
+    agenda_.At(work.left - 5ms, [this, r, number, life = router.life] {
+      On(r, life, [this, r, number] {
+        if (!routers_[r].askers.contains(number)) return;
+        routers_[r].desk->Finish(now(), number, End::kFailed);
+        Flush(r);
+      });
+    });
     agenda_.At(work.left + 60ms, [this, r, number, life = router.life] {
       Router& one = routers_[r];
       if (one.life == life && one.desk && one.askers.contains(number) && one.still_until + 100ms < now())
