--- a/src/router/work_in_hand.cpp
+++ b/src/router/work_in_hand.cpp
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAloneComeBack{250};
-constexpr std::size_t kMostParcel = 1000;  // bytes, so that a few messages together fit a datagram
+// Bytes: a few messages together fit a datagram; copies for one who has started anew go by one stream.
+constexpr std::size_t kMostParcel = 1000, kMostCopies = 512u << 10;
 
 takeover::Seats SeatsOf(const Config& config) {
   std::vector<takeover::SeatName> seats;
@@ -138,7 +139,8 @@
     auto& parcel = parcels[out.router];
     std::size_t& size = sizes[out.router];
     std::size_t more = takeover::SizeOf(out.message);
-    if (!parcel.empty() && (size + more > kMostParcel || parcel.size() >= takeover::kMostTogether)) {
+    std::size_t most = out.message.kind == takeover::Kind::kCopy ? kMostCopies : kMostParcel;
+    if (!parcel.empty() && (size + more > most || parcel.size() >= takeover::kMostTogether)) {
       send(out.router, parcel);
       size = 0;
     }
--- a/src/takeover/wire.h
+++ b/src/takeover/wire.h
@@ -9,7 +9,7 @@
 
 namespace peatbend::takeover {
 
-constexpr std::size_t kMostTogether = 256, kMostSteps = 64, kMostWork = 512, kMostValue = 256u << 10;
+constexpr std::size_t kMostTogether = 4096, kMostSteps = 64, kMostWork = 512, kMostValue = 256u << 10;
 
 // `seats`: Seats::print() of the sender; who reckons with other seats is not listened to.
 std::string Encode(std::uint64_t seats, const std::vector<Message>& messages);
