Keep no work and ask no word before the fleet knows this process's life

Cause: a desk was made with the life that peers had at that moment: none yet, where the address was still held by the process before, or one that the fleet might know a higher one of. Two starts of a router could then claim under one name of theirs, and a vote of the former start could count beside the word given to the next. Found on a second reading.

Change: peers state a life once this is a member; before that work is alone, and no word is asked for. The first word is asked for at the start, not with the first request. Which seats have yet to vouch is asked of the holder, not kept a second time.

--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -110,13 +110,19 @@
   one.message.fleet = options_.fleet;
   one.message.from = self_.name;
   one.message.reply = config_.advertise;
-  one.message.life = life();
+  one.message.life = membership_->self().life;
   one.message.cargo = std::move(bytes);
   one.stream = one.message.cargo.size() + kAroundCargo > kMostDatagram;
   sockets_->Send(one);
   return true;
 }
 
+std::uint64_t Peers::life() const {
+  using enum Membership::Phase;  // who has left finishes what it has under its life
+  bool known = membership_ && (membership_->phase() == kMember || membership_->phase() == kLeft);
+  return known ? membership_->self().life : 0;
+}
+
 bool Peers::Gone(const std::string& name, std::uint64_t life) const {
   if (!membership_) return false;
   auto at = membership_->members().find(name);
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -31,7 +31,8 @@
   bool Carry(const std::string& to, std::string bytes);
   // Whether that life of that name is held for over. False where nothing is known.
   bool Gone(const std::string& name, std::uint64_t life) const;
-  std::uint64_t life() const { return membership_ ? membership_->self().life : 0; }  // 0: no address yet
+  // Of this process, higher than any that the fleet knows of its name; 0 before it is a member.
+  std::uint64_t life() const;
   static Time Now();
 
   void Leave();  // tells the others, and goes on telling until it is destroyed
--- a/src/router/work_in_hand.cpp
+++ b/src/router/work_in_hand.cpp
@@ -50,14 +50,14 @@
       desk_(OptionsOf(config), SeatsOf(config), config.name, peers.life(), peers::Peers::Now(),
             [this](const takeover::Author& author) { return peers_.Gone(author.name, author.life); }),
       tick_(base, [this] {
+        desk_.SetLife(peers_.life());
         desk_.Tick(peers::Peers::Now());
         Flush();
       }) {
   peers_.OnCargo([this](const std::string& from, const std::string& bytes) { Arrived(from, bytes); });
   decision_.Keep(this);
-  log_.Line("work",
-            fmt::format("kept at three of {} seats; this one votes in {} ms", desk_.seats().all().size(),
-                        OptionsOf(config).keep.life / std::chrono::milliseconds(1)));
+  log_.Line("work", fmt::format("kept at three of {} seats", desk_.seats().all().size()));
+  Flush();
 }
 
 // What is open goes on uncovered.
--- a/src/takeover/desk.cpp
+++ b/src/takeover/desk.cpp
@@ -34,7 +34,12 @@
               }),
       forget_at_(now + kForgetEvery),
       words_at_(now) {
-  for (const SeatName& seat : seats_.all()) names_.push_back(seat.router);
+  asks_ = std::ranges::find(seats_.all(), self_, &SeatName::router) != seats_.all().end();
+}
+
+void Desk::SetLife(std::uint64_t life) {
+  life_ = life;
+  holder_.SetLife(life);
 }
 
 Desk::Errand* Desk::Find(Number number) {
@@ -227,6 +232,7 @@
 // For the permission to send, if the record allows it.
 void Desk::Ask(Time now, Errand& errand) {
   if (!errand.heard || Over(now, errand)) return Close(now, errand, End::kFailed, {});
+  if (errand.custody.claim().author().life == 0) return Alone(now, errand);
   Next next = Allowed(now, errand);
   if (next == Next::kFail) return Write(now, errand, End::kFailed, {});
   if (next == Next::kTell) return Write(now, errand, End::kNone, {});
@@ -337,24 +343,31 @@
 std::optional<Time> Desk::Due() const {
   std::optional<Time> due;
   if (!due_.empty()) due = due_.begin()->first;
-  if (AsksForWords()) due = due ? std::min(*due, words_at_) : words_at_;
+  if (asks_) due = due ? std::min(*due, words_at_) : words_at_;
   if (holder_.records() > 0) due = due ? std::min(*due, forget_at_) : forget_at_;
   return due;
 }
 
+// Those that have not vouched for all, till none is left or its age lets it vote.
+void Desk::AskForWords(Time now) {
+  words_at_ = now + options_.words_every;
+  if (life_ == 0) return;
+  asks_ = false;
+  if (!holder_.young(now)) return;
+  Message ask = holder_.AskWord();
+  for (const SeatName& seat : seats_.all()) {
+    if (seat.router == self_ || holder_.Vouches(seat.router)) continue;
+    out_.push_back({seat.router, ask});
+    asks_ = true;
+  }
+}
+
 void Desk::Tick(Time now) {
   if (now >= forget_at_) {
     holder_.Forget(now);
     forget_at_ = now + kForgetEvery;
   }
-  if (now >= words_at_ && AsksForWords()) {
-    words_at_ = now + options_.words_every;
-    std::vector<std::string> wordless =
-        holder_.young(now) ? holder_.Wordless(names_) : std::vector<std::string>();
-    Message ask = holder_.AskWord();
-    for (const std::string& name : wordless) out_.push_back({name, ask});
-    asks_ = !wordless.empty();
-  }
+  if (asks_ && now >= words_at_) AskForWords(now);
   while (!due_.empty() && due_.begin()->first <= now) TickOne(now, errands_.at(due_.begin()->second));
   Settle(now);
 }
--- a/src/takeover/desk.h
+++ b/src/takeover/desk.h
@@ -8,7 +8,6 @@
 //   watching --its owner is gone, or has let go--> asked
 #pragma once
 
-#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -60,12 +59,13 @@
                   untold = 0;
   };
 
-  // `life`: of this process; it may move on. `gone`: whether that process is known to be no more; only says
-  // when to try.
+  // `life`: of this process, higher than any that the fleet knows of its name; 0 while that is not sure, and
+  // then no record is asked and no word. It may move on. `gone`: whether that process is known to be no more;
+  // only says when to try.
   Desk(DeskOptions options, Seats seats, std::string self, std::uint64_t life, Time now,
        std::function<bool(const Author&)> gone);
 
-  void SetLife(std::uint64_t life) { life_ = life; }
+  void SetLife(std::uint64_t life);
   // No seat can be reached from now on: who waits for a word is given it uncovered. Nothing is asked after
   // it.
   void Release(Time now);
@@ -114,10 +114,6 @@
   using Errands = std::map<std::uint64_t, Errand>;  // by go
 
   Errand* Find(Number number);
-  // After a start, if this is a seat.
-  bool AsksForWords() const {
-    return asks_ && std::find(names_.begin(), names_.end(), self_) != names_.end();
-  }
   bool Over(Time now, const Errand& errand) const { return now >= errand.deadline - options_.margin; }
   void SetDue(Errand& errand, Time due);
   // The same, and in time for its last word.
@@ -127,6 +123,7 @@
   void Settle(Time now);
   void Heard(Time now, Errand& errand, std::size_t seat, const Message& message);
   void TickOne(Time now, Errand& errand);
+  void AskForWords(Time now);
   Next Allowed(Time now, const Errand& errand) const;
   void Ask(Time now, Errand& errand);
   void Write(Time now, Errand& errand, End end, std::string value, bool kept = true);
@@ -149,9 +146,8 @@
   std::map<Number, std::uint64_t> gos_;
   std::set<std::pair<Time, std::uint64_t>> due_;  // an errand's time, and its go
   std::uint64_t last_go_ = 0;
-  bool asks_ = true;  // for the others' word
+  bool asks_ = false;  // for the others' word: after a start, if this is a seat
   Time forget_at_, words_at_;
-  std::vector<std::string> names_;  // of the seats
   std::vector<Out> out_, local_;
   std::vector<Say> said_;
   Figures figures_;
--- a/src/takeover/holder.cpp
+++ b/src/takeover/holder.cpp
@@ -157,15 +157,6 @@
   return all;
 }
 
-std::vector<std::string> Holder::Wordless(const std::vector<std::string>& seats) const {
-  std::vector<std::string> wordless;
-  for (const std::string& name : seats) {
-    auto at = vouched_.find(name);
-    if (name != self_ && (at == vouched_.end() || !at->second.contains("*"))) wordless.push_back(name);
-  }
-  return wordless;
-}
-
 Message Holder::AskWord() {
   Message ask;
   ask.kind = Kind::kAskWord;
--- a/src/takeover/holder.h
+++ b/src/takeover/holder.h
@@ -4,6 +4,7 @@
 // can be alive. One owner, one thread.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -34,10 +35,11 @@
 
   // The answer to a prepare, an accept or a look.
   Message Take(Time now, const Message& asked);
-  // What to ask those of `seats` that have not vouched for all yet; nothing has been heard of an asking
-  // before.
+  // Its life has moved on, with all that it keeps.
+  void SetLife(std::uint64_t life) { life_ = std::max(life_, life); }
+  // What to ask those that have not vouched for all yet; nothing has been heard of an asking before.
   Message AskWord();
-  std::vector<std::string> Wordless(const std::vector<std::string>& seats) const;
+  bool Vouches(const std::string& who) const { return Vouches(who, "*"); }
   // This one's word, for one who has started anew. From now on the asker's votes of former lives count no
   // more beside those of this one.
   std::vector<Message> Word(Time now, const Message& asked);
--- a/tests/takeover/desk_test.cpp
+++ b/tests/takeover/desk_test.cpp
@@ -57,6 +57,29 @@
   CHECK(outcome.rejected == 0);
 }
 
+TEST_CASE("desk: without a life that the fleet knows nothing is asked, and no word") {
+  Seats seats({{"a", "x"}, {"b", "y"}, {"c", "x"}});
+  ClassSettings cls;
+  cls.effect = Effect::kUnsafe;
+  Desk desk({}, seats, "a", 0, 1s, [](const Author&) { return false; });
+  desk.Open(1s, 1, "w", cls, 3s);
+  desk.Want(1s, 1, "m");
+  desk.Tick(1s);
+  CHECK(desk.TakeOut().empty());
+  auto said = desk.TakeSaid();
+  REQUIRE(said.size() == 1);
+  CHECK(said[0].alone);
+  CHECK(said[0].end == End::kRejected);
+  desk.SetLife(77);
+  desk.Tick(2s);
+  auto asked = desk.TakeOut();
+  REQUIRE(asked.size() == 2);
+  for (const Desk::Out& one : asked) {
+    CHECK(one.message.kind == Kind::kAskWord);
+    CHECK(one.message.ballot.author.life == 77);
+  }
+}
+
 TEST_CASE("wire: what is read is what was written, and other bytes are no message") {
   world::Random random(7, 1);
   Message message;
