Say once what desk, custody, stage and codec said twice

Need: a second reading of the whole change.

Change: a claim is begun by Write, not by a Create of its own; what a desk knew of an errand's end and of a wait it asks of the custody and of the phase; one wait for an answer instead of four; copies of a word are told as a look is; the seats of a work hash each name once instead of three times; reading MessagePack of strangers, binding a socket, starting a flow and telling that one was never sent are one piece each. A value too large to be kept is told only by the one who recorded it.

--- a/src/admin/ask.cpp
+++ b/src/admin/ask.cpp
@@ -71,8 +71,8 @@
 }
 
 std::string WorkTable(const std::string& text) {
-  nlohmann::ordered_json all = nlohmann::ordered_json::parse(text);
-  std::string table = fmt::format("{} seats", all.value("seats", nlohmann::ordered_json::array()).size());
+  nlohmann::json all = nlohmann::json::parse(text);
+  std::string table = fmt::format("{} seats", all.value("seats", nlohmann::json::array()).size());
   for (const auto& [name, value] : all.items()) {
     if (value.is_number()) table += fmt::format("\n{:<16} {:>12}", name, value.dump());
   }
--- a/src/base/listen.cpp
+++ b/src/base/listen.cpp
@@ -9,16 +9,15 @@
 #include "base/address.h"
 
 namespace peatbend::net {
-namespace {
 
-int Bound(const std::string& address, bool shared) {
+int BindTo(const std::string& address, int type, bool shared) {
   sockaddr_storage to{};
   int size = 0;
   ReadAddress(address, to, size);
-  int made = socket(to.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int made = socket(to.ss_family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (made < 0) return -1;
   int yes = 1;
-  setsockopt(made, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  if (type == SOCK_STREAM) setsockopt(made, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
   if (shared) setsockopt(made, SOL_SOCKET, SO_REUSEPORT, &yes, sizeof yes);
   if (bind(made, reinterpret_cast<sockaddr*>(&to), static_cast<socklen_t>(size)) == 0) return made;
   int why = errno;
@@ -27,10 +26,8 @@
   return -1;
 }
 
-}  // namespace
-
 int ListenOn(const std::string& address, int backlog, bool shared) {
-  int made = Bound(address, shared);
+  int made = BindTo(address, SOCK_STREAM, shared);
   if (made < 0 || listen(made, backlog) == 0) return made;
   int why = errno;
   close(made);
@@ -39,7 +36,7 @@
 }
 
 bool Taken(const std::string& address) {
-  int made = Bound(address, false);
+  int made = BindTo(address, SOCK_STREAM, false);
   if (made >= 0) close(made);
   return made < 0 && errno == EADDRINUSE;
 }
--- a/src/base/packed.h
+++ b/src/base/packed.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 namespace peatbend::net {
 
@@ -33,6 +34,18 @@
   int deepest_, depth_ = 0;
 };
 
+inline nlohmann::json Blob(const std::string& text) {
+  return nlohmann::json::binary({text.begin(), text.end()});
+}
+
+// Discarded where the bytes are no whole value, or one that is nested deeper.
+inline nlohmann::json Unpack(std::string_view bytes, int deepest) {
+  DepthGuard guard(deepest);
+  if (!nlohmann::json::sax_parse(bytes, &guard, nlohmann::json::input_format_t::msgpack))
+    return nlohmann::json(nlohmann::json::value_t::discarded);
+  return nlohmann::json::from_msgpack(bytes, true, false);
+}
+
 // Takes the fields of an array one after another; fails once and for all at the first that does not fit.
 class Fields {
  public:
--- a/src/lab/crowd.cpp
+++ b/src/lab/crowd.cpp
@@ -97,16 +97,15 @@
 void Crowd::Cut(const Try& one) {
   referee_.Unanswered(one.id, agenda_.now());
   if (!settled_.try_emplace(one.id, true).second || Over(one)) return;
-  bool unsafe = scenario_.classes[static_cast<std::size_t>(plan_.requests[one.request].cls)].rules.effect ==
-                Effect::kUnsafe;
-  Time end = plan_.requests[one.request].at +
-             scenario_.classes[static_cast<std::size_t>(plan_.requests[one.request].cls)].rules.deadline;
-  if (!one.work.empty() && end - agenda_.now() >= world::FromSeconds(2) &&
-      !std::exchange(state_[one.request].returned, true))
-    ++returned_;
+  if (one.work.empty())
+    return Again(one, Outcome::What::kFailed, world::FromMs(scenario_.retry_wait_ms), false);
   // Its work is kept for it: the same command, at another router.
-  Again(one, Outcome::What::kFailed, world::FromMs(scenario_.retry_wait_ms), !one.work.empty(),
-        !one.work.empty() && unsafe);
+  const Planned& planned = plan_.requests[one.request];
+  const ClassSettings& cls = scenario_.classes[static_cast<std::size_t>(planned.cls)].rules;
+  bool in_time = planned.at + cls.deadline - agenda_.now() >= world::FromSeconds(2);
+  if (in_time && !std::exchange(state_[one.request].returned, true)) ++returned_;
+  Again(one, Outcome::What::kFailed, world::FromMs(scenario_.retry_wait_ms), true,
+        cls.effect == Effect::kUnsafe);
 }
 
 // The client's patience for this try is over; a late answer is still listened for, for the referee.
--- a/src/lab/peers_command.cpp
+++ b/src/lab/peers_command.cpp
@@ -34,6 +34,7 @@
   std::vector<double> noticed_ms, agreed_s;
   double datagrams_s = 0, bytes_s = 0, cpu_percent = 0, peak_mb = 0, worst_late_ms = 0;
   std::vector<std::string> broken;  // with the seed
+  double Each(double sum) const { return sum / static_cast<double>(std::max<std::size_t>(1, runs)); }
   bool fine() const { return broken.empty() && not_noticed == 0 && not_agreed == 0; }
 };
 
@@ -101,7 +102,6 @@
 }
 
 std::string Line(const Sum& sum) {
-  auto runs = static_cast<double>(std::max<std::size_t>(1, sum.runs));
   std::string line = fmt::format("{:>5} nodes, {} seeds:", sum.nodes, sum.runs);
   if (!sum.noticed_ms.empty())
     line += fmt::format(" noticed p50 {:.0f} p99 {:.0f} max {:.0f} ms;", Quantile(sum.noticed_ms, 0.5),
@@ -111,19 +111,18 @@
                         Quantile(sum.agreed_s, 1));
   line += fmt::format(" false deaths {}; not noticed {}, not agreed {};", sum.false_deaths, sum.not_noticed,
                       sum.not_agreed);
-  if (sum.datagrams_s > 0) line += fmt::format(" {:.1f} datagrams", sum.datagrams_s / runs);
-  if (sum.bytes_s > 0) line += fmt::format(" of {:.0f} bytes", sum.bytes_s / runs);
+  if (sum.datagrams_s > 0) line += fmt::format(" {:.1f} datagrams", sum.Each(sum.datagrams_s));
+  if (sum.bytes_s > 0) line += fmt::format(" of {:.0f} bytes", sum.Each(sum.bytes_s));
   if (sum.datagrams_s > 0) line += " a second and node;";
   if (sum.peak_mb > 0)
     line +=
         fmt::format(" CPU {:.2f} % of a core and {:.1f} MB a process; rig late by {:.0f} ms at the worst;",
-                    sum.cpu_percent / runs, sum.peak_mb, sum.worst_late_ms);
+                    sum.Each(sum.cpu_percent), sum.peak_mb, sum.worst_late_ms);
   line += fmt::format(" broken {}", sum.broken.size());
   return line;
 }
 
 json ToJson(const Sum& sum) {
-  auto runs = static_cast<double>(std::max<std::size_t>(1, sum.runs));
   return {{"nodes", sum.nodes},
           {"seeds", sum.runs},
           {"false_deaths", sum.false_deaths},
@@ -131,9 +130,9 @@
           {"not_agreed", sum.not_agreed},
           {"noticed_ms", sum.noticed_ms},
           {"agreed_s", sum.agreed_s},
-          {"datagrams_s", sum.datagrams_s / runs},
-          {"bytes_s", sum.bytes_s / runs},
-          {"cpu_percent", sum.cpu_percent / runs},
+          {"datagrams_s", sum.Each(sum.datagrams_s)},
+          {"bytes_s", sum.Each(sum.bytes_s)},
+          {"cpu_percent", sum.Each(sum.cpu_percent)},
           {"peak_mb", sum.peak_mb},
           {"broken", sum.broken}};
 }
@@ -176,13 +175,12 @@
     page += "</svg></figure>";
   }
   double most = 0;
-  for (const Sum& sum : sums)
-    most = std::max(most, sum.datagrams_s / static_cast<double>(std::max<std::size_t>(1, sum.runs)));
+  for (const Sum& sum : sums) most = std::max(most, sum.Each(sum.datagrams_s));
   if (most > 0) {
     page += "<figure><figcaption>Datagrams that a node sends in a second</figcaption><svg viewBox='0 0 900 ";
     page += fmt::format("{}'>", 10 + 22 * sums.size());
     for (std::size_t s = 0; s < sums.size(); ++s) {
-      double each = sums[s].datagrams_s / static_cast<double>(std::max<std::size_t>(1, sums[s].runs));
+      double each = sums[s].Each(sums[s].datagrams_s);
       page += fmt::format(
           "<text x=80 y={0} text-anchor=end>{1} nodes</text><rect x=90 y={2} width={3:.0f} height=14 "
           "fill='{4}'/>"
@@ -199,13 +197,12 @@
       "<table><tr><th>nodes<th>seeds<th>noticed p50, p99, ms<th>agreed at most, s<th>false "
       "deaths<th>datagrams/s<th>bytes/s";
   for (const Sum& sum : sums) {
-    auto runs = static_cast<double>(std::max<std::size_t>(1, sum.runs));
     page += fmt::format("<tr><td>{}<td>{}<td>{}, {}<td>{}<td>{}<td>{}<td>{}", sum.nodes, sum.runs,
                         orNone(Quantile(sum.noticed_ms, 0.5), !sum.noticed_ms.empty(), 0),
                         orNone(Quantile(sum.noticed_ms, 0.99), !sum.noticed_ms.empty(), 0),
                         orNone(Quantile(sum.agreed_s, 1), !sum.agreed_s.empty(), 2), sum.false_deaths,
-                        orNone(sum.datagrams_s / runs, sum.datagrams_s > 0, 1),
-                        orNone(sum.bytes_s / runs, sum.bytes_s > 0, 0));
+                        orNone(sum.Each(sum.datagrams_s), sum.datagrams_s > 0, 1),
+                        orNone(sum.Each(sum.bytes_s), sum.bytes_s > 0, 0));
   }
   return page + "</table>\n";
 }
--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -7,17 +7,14 @@
 namespace peatbend::peers {
 namespace {
 
-using net::DepthGuard;
 using net::Fields;
 using net::kAny;
 using nlohmann::json;
 
 constexpr int kDeepest = 3;  // message, records, record
-json::binary_t Bytes(const std::string& text) { return json::binary_t({text.begin(), text.end()}); }
-
 json ToJson(const Record& r) {
   return json::array({r.name, r.life, r.birth, r.claim, static_cast<unsigned>(r.state), r.by, r.address,
-                      r.zone, r.version, r.serves, json::binary(Bytes(r.note))});
+                      r.zone, r.version, r.serves, net::Blob(r.note)});
 }
 
 bool Read(const json& from, Record& r) {
@@ -38,7 +35,7 @@
       json::array({kVersion, kVersion, m.fleet, static_cast<unsigned>(m.kind), m.from, m.reply, m.life,
                    m.birth, m.number, m.probe, m.digest, m.member, static_cast<unsigned>(m.you), m.target,
                    m.target_address, m.target_life, std::move(records)});
-  if (m.kind == Kind::kCargo) array.push_back(json::binary(Bytes(m.cargo)));
+  if (m.kind == Kind::kCargo) array.push_back(net::Blob(m.cargo));
   std::string bytes;
   json::to_msgpack(array, bytes);
   return bytes;
@@ -51,9 +48,7 @@
 
 Fault Decode(std::string_view bytes, std::size_t most, std::string_view fleet, Message& m) {
   if (bytes.size() > most) return Fault::kOversized;
-  DepthGuard guard(kDeepest);
-  if (!json::sax_parse(bytes, &guard, json::input_format_t::msgpack)) return Fault::kMalformed;
-  json array = json::from_msgpack(bytes, true, false);
+  json array = net::Unpack(bytes, kDeepest);
   if (array.is_discarded()) return Fault::kMalformed;
   Fields fields(array);
   unsigned version = 0, least = 0;
--- a/src/peers/peer_sockets.cpp
+++ b/src/peers/peer_sockets.cpp
@@ -34,26 +34,13 @@
   return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
 }
 
-int DatagramSocket(const std::string& address) {
-  sockaddr_storage to{};
-  int size = 0;
-  net::ReadAddress(address, to, size);
-  int made = socket(to.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (made < 0) return -1;
-  if (bind(made, reinterpret_cast<sockaddr*>(&to), static_cast<socklen_t>(size)) == 0) return made;
-  int why = errno;
-  close(made);
-  errno = why;
-  return -1;
-}
-
 }  // namespace
 
 PeerSockets::PeerSockets(event_base* base, const std::string& address, std::string fleet, Calls calls)
     : base_(base), address_(address), fleet_(std::move(fleet)), calls_(std::move(calls)) {
   // The datagram socket keeps a second process out: streams may still be in their last states from a former
   // one.
-  datagrams_ = DatagramSocket(address);
+  datagrams_ = net::BindTo(address, SOCK_DGRAM, false);
   if (datagrams_ >= 0) {
     address_ = WithPort(address, net::PortOf(datagrams_));
     listener_ = net::ListenOn(address_, 64, false);
--- a/src/router/work_in_hand.cpp
+++ b/src/router/work_in_hand.cpp
@@ -126,26 +126,26 @@
 }
 
 void WorkInHand::Flush() {
-  std::map<std::string, std::vector<takeover::Message>> parcels;
-  std::map<std::string, std::size_t> sizes;
-  auto send = [this](const std::string& to, std::vector<takeover::Message>& messages) {
-    std::string bytes = takeover::Encode(desk_.seats().print(), messages);
-    messages.clear();
+  struct Parcel {
+    std::vector<takeover::Message> messages;
+    std::size_t size = 0;
+  };
+  std::map<std::string, Parcel> parcels;
+  auto send = [this](const std::string& to, Parcel& parcel) {
+    std::string bytes = takeover::Encode(desk_.seats().print(), parcel.messages);
+    parcel = {};
     ++sent_;
     bytes_ += bytes.size();
     if (!peers_.Carry(to, std::move(bytes))) ++unreached_;
   };
   for (takeover::Desk::Out& out : desk_.TakeOut()) {
-    auto& parcel = parcels[out.router];
-    std::size_t& size = sizes[out.router];
+    Parcel& parcel = parcels[out.router];
     std::size_t more = takeover::SizeOf(out.message);
     std::size_t most = out.message.kind == takeover::Kind::kCopy ? kMostCopies : kMostParcel;
-    if (!parcel.empty() && (size + more > most || parcel.size() >= takeover::kMostTogether)) {
-      send(out.router, parcel);
-      size = 0;
-    }
-    size += more;
-    parcel.push_back(std::move(out.message));
+    bool full = parcel.size + more > most || parcel.messages.size() >= takeover::kMostTogether;
+    if (full && !parcel.messages.empty()) send(out.router, parcel);
+    parcel.size += more;
+    parcel.messages.push_back(std::move(out.message));
   }
   for (auto& [to, parcel] : parcels) send(to, parcel);
   for (takeover::Desk::Say& say : desk_.TakeSaid()) {
--- a/src/stage/decision.cpp
+++ b/src/stage/decision.cpp
@@ -211,19 +211,12 @@
 
 void Decision::On(Permit& permit) {
   Transaction* transaction = Find(permit.id);
-  if (transaction == nullptr || transaction->held < 0) {
-    if (keeping_ != nullptr) keeping_->FlowEnded(permit.id, false);
-    return;
+  bool wanted = transaction != nullptr && transaction->held >= 0;
+  if (wanted && !transaction->finished() && !transaction->ending && transaction->deadline() > clock_.Now()) {
+    return Start(*transaction, std::exchange(transaction->held, -1), transaction->held_limit);
   }
-  Duration left = transaction->deadline() - clock_.Now();
-  if (transaction->finished() || transaction->ending || left <= Duration::zero()) {
-    if (transaction->covered) keeping_->FlowEnded(permit.id, false);
-    return NotSent(*transaction);
-  }
-  Duration limit =
-      transaction->held_limit == Duration::zero() ? left : std::min(left, transaction->held_limit);
-  auto attempt = static_cast<std::size_t>(std::exchange(transaction->held, -1));
-  transaction->flows()[attempt]->Start(connections_, transaction->request(), limit);
+  if (keeping_ != nullptr) keeping_->FlowEnded(permit.id, false);
+  if (wanted) NotSent(*transaction);
 }
 
 void Decision::On(Closing& closing) {
@@ -231,16 +224,11 @@
   if (transaction == nullptr) return;
   transaction->covered = false;
   NotSent(*transaction);
-  if (closing.end == takeover::End::kValue) {
-    BufferPtr value(evbuffer_new());
-    Append(value.get(), closing.value);
-    transaction->Serve(value.get());
-  } else if (closing.end == takeover::End::kRejected) {
-    Duration come_back = std::max(closing.come_back, transaction->come_back);
-    transaction->Reject(std::min(come_back, settings_.max_retry_after));
-  } else {
-    transaction->Fail();
-  }
+  if (closing.end != takeover::End::kValue)
+    return Tell(*transaction, closing.end, std::max(closing.come_back, transaction->come_back));
+  BufferPtr value(evbuffer_new());
+  Append(value.get(), closing.value);
+  transaction->Serve(value.get());
   ForgetIfOver(closing.id);
 }
 
@@ -250,26 +238,32 @@
 
 void Decision::Do(const Send& send) {
   Transaction* transaction = Find(send.id);
-  FlowReply never;
-  never.result = Result::kNeverSent;
-  if (transaction == nullptr) return Post(Ended{send.id, 0, send.server.name, std::move(never), {}});
+  if (transaction == nullptr) return NeverSent(send.id, 0, send.server.name);
   auto& flows = transaction->flows();
   int attempt = static_cast<int>(flows.size());
   flows.push_back(std::make_unique<ServerSideFlow>(*this, base_, clock_, send.id, attempt, send.server.name));
   ++transaction->open_flows;
-  Duration left = transaction->deadline() - clock_.Now();
   if (transaction->finished() || transaction->ending || transaction->streams() >= 0 ||
-      left <= Duration::zero() || attempt >= settings_.try_limit) {
+      transaction->deadline() <= clock_.Now() || attempt >= settings_.try_limit) {
     ++counters_.outcomes[static_cast<std::size_t>(Result::kNeverSent)];
-    return Post(Ended{send.id, attempt, send.server.name, std::move(never), {}});
+    return NeverSent(send.id, attempt, send.server.name);
   }
-  if (transaction->covered) {  // its record is asked first
-    transaction->held = attempt;
-    transaction->held_limit = send.give_up_after;
-    return keeping_->Want(send.id, send.server.name);
-  }
-  Duration limit = send.give_up_after == Duration::zero() ? left : std::min(left, send.give_up_after);
-  flows.back()->Start(connections_, transaction->request(), limit);
+  if (!transaction->covered) return Start(*transaction, attempt, send.give_up_after);
+  transaction->held = attempt;  // its record is asked first
+  transaction->held_limit = send.give_up_after;
+  keeping_->Want(send.id, send.server.name);
+}
+
+void Decision::Start(Transaction& transaction, int attempt, Duration give_up_after) {
+  Duration left = transaction.deadline() - clock_.Now();
+  Duration limit = give_up_after == Duration::zero() ? left : std::min(left, give_up_after);
+  transaction.flows()[static_cast<std::size_t>(attempt)]->Start(connections_, transaction.request(), limit);
+}
+
+void Decision::NeverSent(RequestId id, int attempt, const std::string& member) {
+  FlowReply never;
+  never.result = Result::kNeverSent;
+  Post(Ended{id, attempt, member, std::move(never), {}});
 }
 
 void Decision::Do(const Refuse& refuse) {
@@ -283,11 +277,13 @@
 }
 
 void Decision::End(Transaction& transaction, takeover::End end, Duration come_back) {
-  if (transaction.covered && !transaction.finished()) {
-    transaction.ending = true;
-    transaction.come_back = come_back;
-    return keeping_->Finish(transaction.id(), end, {});
-  }
+  if (!transaction.covered || transaction.finished()) return Tell(transaction, end, come_back);
+  transaction.ending = true;
+  transaction.come_back = come_back;
+  keeping_->Finish(transaction.id(), end, {});
+}
+
+void Decision::Tell(Transaction& transaction, takeover::End end, Duration come_back) {
   if (end == takeover::End::kRejected) {
     transaction.Reject(std::min(come_back, settings_.max_retry_after));
   } else {
@@ -299,11 +295,8 @@
 void Decision::NotSent(Transaction& transaction) {
   if (transaction.held < 0) return;
   int attempt = std::exchange(transaction.held, -1);
-  FlowReply never;
-  never.result = Result::kNeverSent;
   ++counters_.outcomes[static_cast<std::size_t>(Result::kNeverSent)];
-  const std::string& member = transaction.flows()[static_cast<std::size_t>(attempt)]->member();
-  Post(Ended{transaction.id(), attempt, member, std::move(never), {}});
+  NeverSent(transaction.id(), attempt, transaction.flows()[static_cast<std::size_t>(attempt)]->member());
 }
 
 void Decision::Do(const Cancel& cancel) {
--- a/src/stage/decision.h
+++ b/src/stage/decision.h
@@ -109,10 +109,14 @@
   void Do(const Subscribe&);
   void Do(const Release& release);
   void Do(const peatbend::Log& line);
+  void Start(Transaction& transaction, int attempt, Duration give_up_after);
+  // The module is told so.
+  void NeverSent(RequestId id, int attempt, const std::string& member);
   // Its held attempt, if any, is not sent.
   void NotSent(Transaction& transaction);
-  // The end is the module's, or a value; told at once, or once its record stands.
+  // The end is the module's, a reject or a failure: told at once, or once its record stands.
   void End(Transaction& transaction, takeover::End end, Duration come_back);
+  void Tell(Transaction& transaction, takeover::End end, Duration come_back);
   Transaction* Find(RequestId id);
   ServerSideFlow* StreamOf(Transaction& transaction);
   void ForgetIfOver(RequestId id);
--- a/src/takeover/claim.cpp
+++ b/src/takeover/claim.cpp
@@ -14,7 +14,7 @@
   promises_ = {};
 }
 
-Message Claim::Write() const {
+Message Claim::Question() const {
   Message message;
   message.work = work_;
   message.ballot = {round_, author_};
@@ -27,19 +27,13 @@
 
 void Claim::Again(Time now, std::vector<Out>& out) const {
   if (!InDoubt()) return;
-  Message message = Write();
+  Message message = Question();
   if (phase_ == Phase::kWriting) message.age = age(now);
   for (std::size_t seat = 0; seat < kSeats; ++seat) {
     if (!yes_[seat] && !no_[seat]) out.push_back({seat, message});
   }
 }
 
-void Claim::Create(Time now, State first, std::vector<Out>& out) {
-  round_ = 0;
-  first_ = now;
-  Write(now, std::move(first), out);
-}
-
 void Claim::Write(Time now, State next, std::vector<Out>& out) {
   if (state_.steps.empty()) first_ = now;
   state_ = std::move(next);
--- a/src/takeover/claim.h
+++ b/src/takeover/claim.h
@@ -2,7 +2,7 @@
 // sent or told, and learns when another has taken the work over. Whether to try, and when, is the caller's:
 // the argument rests on none of it. Seats are numbered from 0; the caller carries messages to them.
 //
-//   idle --Create--> writing --majority--> holding --Write--> writing ...
+//   idle --Write--> writing --majority--> holding --Write--> writing ...
 //   idle, lost --Ask--> asking --majority--> read --Write--> writing
 //   writing, asking --refused by so many that no majority is left--> lost
 #pragma once
@@ -26,12 +26,10 @@
 
   Claim(std::string work, Author author) : work_(std::move(work)), author_(std::move(author)) {}
 
-  // Work that this process knows nothing of.
-  void Create(Time now, State first, std::vector<Out>& out);
   // Asks for the promises of a higher round than any that it has met.
   void Ask(Time now, std::vector<Out>& out);
-  // After holding or read, or in place of a write that does not come to stand; `next` is built upon state().
-  // A step that is left out of `next` must not be sent any more.
+  // Of work that this process knows nothing of; after holding or read; or in place of a write that does not
+  // come to stand. `next` is built upon state(). A step that is left out of `next` must not be sent any more.
   void Write(Time now, State next, std::vector<Out>& out);
   // Once more to those seats that have not answered.
   void Again(Time now, std::vector<Out>& out) const;
@@ -56,7 +54,7 @@
   void Put(std::size_t seat, std::string& into) const;
 
  private:
-  Message Write() const;
+  Message Question() const;
   bool InDoubt() const { return phase_ == Phase::kAsking || phase_ == Phase::kWriting; }
   void Start(Time now, Phase phase);
   void Read(std::size_t one, std::size_t other);
--- a/src/takeover/custody.cpp
+++ b/src/takeover/custody.cpp
@@ -37,11 +37,6 @@
   });
 }
 
-void Custody::Write(Time now, State next, std::vector<Claim::Out>& out) {
-  if (claim_.phase() == Claim::Phase::kIdle) return claim_.Create(now, std::move(next), out);
-  claim_.Write(now, std::move(next), out);
-}
-
 void Custody::Want(Time now, const std::string& server, std::vector<Claim::Out>& out) {
   server_.clear();
   State next = Known();
@@ -51,7 +46,7 @@
   next.let_go = false;
   server_ = server;
   next.steps.push_back({claim_.author(), ++number_, server, true});
-  Write(now, std::move(next), out);
+  claim_.Write(now, std::move(next), out);
 }
 
 void Custody::NeverRan() { may_have_run_.erase(sent_); }
@@ -64,13 +59,14 @@
   if (claim_.phase() == Claim::Phase::kLost) return TakeOver(now, out);
   if (claim_.phase() == Claim::Phase::kAsking) return;  // once it is read
   State next = Known();
-  if (!next.final()) {
+  own_end_ = !next.final();
+  if (own_end_) {
     next.end = end_;
-    next.value = value_;
+    next.value = kept_ ? value_ : std::string();
     next.kept = kept_;
     next.let_go = false;
   }
-  Write(now, std::move(next), out);
+  claim_.Write(now, std::move(next), out);
 }
 
 void Custody::LetGo(Time now, std::vector<Claim::Out>& out) {
@@ -79,7 +75,7 @@
   State next = Known();
   if (!wrote || next.final()) return;
   next.let_go = true;
-  Write(now, std::move(next), out);
+  claim_.Write(now, std::move(next), out);
 }
 
 void Custody::TakeOver(Time now, std::vector<Claim::Out>& out) {
@@ -122,7 +118,7 @@
   takeover::Put(into, server_);
   takeover::Put(into, static_cast<std::uint64_t>(end_));
   takeover::Put(into, value_);
-  takeover::Put(into, kept_);
+  takeover::Put(into, kept_ + 2u * own_end_);
   takeover::Put(into, number_);
   takeover::Put(into, sent_);
   for (std::uint32_t number : may_have_run_) takeover::Put(into, number);
--- a/src/takeover/custody.h
+++ b/src/takeover/custody.h
@@ -19,7 +19,6 @@
   kFail,    // something may have run, and may not be repeated
   kTell     // it has ended
 };
-constexpr const char* kNextNames[] = {"send", "repeat", "fail", "tell"};
 
 // `age`: since the first step was recorded, at the least. `unsure`: how much longer ago, or how much later
 // than recorded, an attempt may have been sent.
@@ -46,6 +45,7 @@
   // The attempt that was permitted last turned out to never have run.
   void NeverRan();
   // The end is wanted. Where the work was lost meanwhile it is taken back first, if nobody has ended it.
+  // `kept`: the value is written too, not only that there is one.
   void Finish(Time now, End end, std::string value, std::vector<Claim::Out>& out, bool kept = true);
   // Nothing more is done for it here; whoever asks may take it over at once.
   void LetGo(Time now, std::vector<Claim::Out>& out);
@@ -62,19 +62,20 @@
   // Whether an attempt may have run, as far as is known here: the one that is wanted now has not.
   bool MayHaveRun() const;
   bool taken() const { return claim_.taken(); }
-  std::uint32_t sent() const { return sent_; }  // the step that was permitted last
-  void Put(std::string& into) const;            // see Claim::Put; without what belongs to a seat
+  bool RanElsewhere() const;  // by others, or may have
+  // The end that is wanted; and whether the one that stands is this.
+  End end() const { return end_; }
+  const std::string& value() const { return value_; }
+  bool own_end() const { return own_end_; }
+  void Put(std::string& into) const;  // see Claim::Put; without what belongs to a seat
 
  private:
-  bool RanElsewhere() const;
-  void Write(Time now, State next, std::vector<Claim::Out>& out);
-
   Claim claim_;
   Span send_within_;
   std::string server_;  // wanted and not yet permitted
   End end_ = End::kNone;
   std::string value_;
-  bool kept_ = true;
+  bool kept_ = true, own_end_ = false;
   std::uint32_t number_ = 0, sent_ = 0;
   std::set<std::uint32_t> may_have_run_;  // own steps that were permitted
 };
--- a/src/takeover/desk.cpp
+++ b/src/takeover/desk.cpp
@@ -110,13 +110,10 @@
   switch (verdict) {
     case Custody::Verdict::kSend:
       errand.phase = Phase::kOut;
-      errand.waits = false;
       said_.emplace_back().number = errand.number;
       return SetDue(errand, errand.deadline + kAfterDeadline);
-    case Custody::Verdict::kTell: {
-      State state = errand.custody.state();
-      return Tell(now, errand, state);
-    }
+    case Custody::Verdict::kTell:
+      return Tell(now, errand, errand.custody.state());
     case Custody::Verdict::kLate:
       ++figures_.late;
       return Ask(now, errand);
@@ -153,7 +150,7 @@
     Errand& errand = errands_.at(go);
     Phase before = std::exchange(errand.phase, Phase::kBare);
     if (before == Phase::kEnding) {
-      Close(now, errand, errand.end, std::move(errand.value));
+      Close(now, errand, errand.custody.end(), errand.custody.value());
     } else if (before == Phase::kWatching || before == Phase::kTaking) {
       Close(now, errand, End::kFailed, {});
     } else if (before == Phase::kAsked) {
@@ -166,7 +163,6 @@
   Errand* errand = Find(number);
   if (errand == nullptr) return;
   errand->server = server;
-  errand->waits = true;
   if (errand->phase == Phase::kBare) {
     said_.emplace_back().number = number;
   } else if (errand->phase == Phase::kFresh || errand->phase == Phase::kOut ||
@@ -197,10 +193,7 @@
       Close(now, *errand, End::kFailed, {});
       break;
     default:
-      errand->value = value;
-      bool kept = value.size() <= options_.value_bytes;
-      figures_.not_kept += kept ? 0 : 1;
-      Write(now, *errand, end, kept ? std::move(value) : std::string(), kept);
+      Write(now, *errand, end, std::move(value));
   }
   Settle(now);
 }
@@ -220,15 +213,22 @@
 Next Desk::Allowed(Time now, const Errand& errand) const {
   State known = errand.custody.Known();
   const Claim& claim = errand.custody.claim();
-  auto others = [&](const takeover::Step& step) { return step.may_have_run && step.by != claim.author(); };
-  bool by_others = std::ranges::any_of(known.steps, others);
-  Next next = NextOf(known, errand.cls, claim.age(now), by_others ? options_.send_within : Span{});
-  bool elsewhere = std::ranges::any_of(
-      known.steps, [&](const takeover::Step& step) { return others(step) && step.server != errand.server; });
+  Span unsure = errand.custody.RanElsewhere() ? options_.send_within : Span{};
+  Next next = NextOf(known, errand.cls, claim.age(now), unsure);
+  bool elsewhere = std::ranges::any_of(known.steps, [&](const Step& step) {
+    return step.may_have_run && step.by != claim.author() && step.server != errand.server;
+  });
   bool grouped = errand.cls.effect == Effect::kKeyed && errand.cls.group != Group::kAll;
   return next == Next::kRepeat && grouped && elsewhere ? Next::kFail : next;
 }
 
+void Desk::Wait(Time now, Errand& errand, Phase phase, std::vector<Claim::Out> out, Span again) {
+  errand.phase = phase;
+  errand.since = now;
+  SetNext(now, errand, again);
+  Post(errand, std::move(out));
+}
+
 // For the permission to send, if the record allows it.
 void Desk::Ask(Time now, Errand& errand) {
   if (!errand.heard || Over(now, errand)) return Close(now, errand, End::kFailed, {});
@@ -238,27 +238,22 @@
   if (next == Next::kTell) return Write(now, errand, End::kNone, {});
   std::vector<Claim::Out> out;
   errand.custody.Want(now, errand.server, out);
-  errand.phase = Phase::kAsked;
-  errand.since = now;
-  SetNext(now, errand, options_.again_every);
-  Post(errand, std::move(out));
+  Wait(now, errand, Phase::kAsked, std::move(out), options_.again_every);
 }
 
-void Desk::Write(Time now, Errand& errand, End end, std::string value, bool kept) {
+void Desk::Write(Time now, Errand& errand, End end, std::string value) {
   std::vector<Claim::Out> out;
-  errand.end = end;
+  bool kept = value.size() <= options_.value_bytes;
+  figures_.not_kept += kept ? 0 : 1;
   errand.custody.Finish(now, end, std::move(value), out, kept);
-  errand.phase = Phase::kEnding;
-  errand.since = now;
-  SetNext(now, errand, options_.again_every);
-  Post(errand, std::move(out));
+  Wait(now, errand, Phase::kEnding, std::move(out), options_.again_every);
 }
 
 void Desk::Lost(Time now, Errand& errand) {
   ++figures_.refused;
   if (!errand.custody.taken()) return Alone(now, errand);
   // With a value in hand it is worth to ask once more; else another goes on with the work.
-  if (errand.phase == Phase::kEnding && errand.end == End::kValue)
+  if (errand.phase == Phase::kEnding && errand.custody.end() == End::kValue)
     return SetDue(errand, now + Apart(life_, errand.custody.claim().author().go));
   Watch(now, errand);
 }
@@ -266,18 +261,16 @@
 void Desk::Watch(Time now, Errand& errand) {
   if (!errand.heard || Over(now, errand)) return Close(now, errand, End::kFailed, {});
   if (!std::exchange(errand.joined, true)) ++figures_.joined;
-  errand.phase = Phase::kWatching;
   std::vector<Claim::Out> out;
   errand.look.Ask(out);
-  SetNext(now, errand, options_.look_every + Apart(life_, errand.custody.claim().author().go));
-  Post(errand, std::move(out));
+  Span again = options_.look_every + Apart(life_, errand.custody.claim().author().go);
+  Wait(now, errand, Phase::kWatching, std::move(out), again);
 }
 
 void Desk::Watched(Time now, Errand& errand) {
   if (const State* end = errand.look.End()) {
     ++figures_.ended_by_other;
-    State state = *end;
-    return Tell(now, errand, state);
+    return Tell(now, errand, *end);
   }
   auto owner = errand.look.Owner();
   auto own = owner && owner->name == self_ ? errands_.find(owner->go) : errands_.end();
@@ -289,10 +282,7 @@
 void Desk::TakeOver(Time now, Errand& errand) {
   std::vector<Claim::Out> out;
   errand.custody.TakeOver(now, out);
-  errand.phase = Phase::kTaking;
-  errand.since = now;
-  SetNext(now, errand, options_.again_every);
-  Post(errand, std::move(out));
+  Wait(now, errand, Phase::kTaking, std::move(out), options_.again_every);
 }
 
 // No majority can be had.
@@ -304,15 +294,14 @@
   ++figures_.uncovered;
   errand.phase = Phase::kBare;
   SetDue(errand, errand.deadline + kAfterDeadline);
-  if (std::exchange(errand.waits, false)) said_.emplace_back().number = errand.number;
+  said_.emplace_back().number = errand.number;
 }
 
 void Desk::Tell(Time now, Errand& errand, const State& state) {
   if (state.end == End::kValue && !state.kept) {
     // Whoever made it has it; to others it is lost.
-    bool own = errand.end == End::kValue && !errand.value.empty();
-    return Close(now, errand, own ? End::kValue : End::kFailed, own ? std::move(errand.value) : std::string(),
-                 false, own);
+    if (!errand.custody.own_end()) return Close(now, errand, End::kFailed, {});
+    return Close(now, errand, End::kValue, errand.custody.value(), false, true);
   }
   Close(now, errand, state.end, state.value, false, true);
 }
@@ -391,7 +380,7 @@
     case Phase::kEnding:
       if (waited >= options_.ends_within || (waited >= kLeast && Over(now, errand))) {
         ++figures_.untold;
-        bool reject = errand.end == End::kRejected && !errand.custody.taken();
+        bool reject = errand.custody.end() == End::kRejected && !errand.custody.taken();
         return Close(now, errand, reject ? End::kRejected : End::kFailed, {});
       }
       if (claim.phase() == Claim::Phase::kLost) errand.custody.TakeOver(now, out);
--- a/src/takeover/desk.h
+++ b/src/takeover/desk.h
@@ -104,10 +104,7 @@
     std::array<std::size_t, kSeats> seats{};
     Phase phase = Phase::kFresh;
     std::string server;  // wanted
-    bool waits = false;  // for a word on that
-    End end = End::kNone;
-    std::string value;
-    bool heard = true;  // somebody waits for the end
+    bool heard = true;   // somebody waits for the end
     bool joined = false;
     Time deadline{}, since{}, due{};
   };
@@ -125,8 +122,10 @@
   void TickOne(Time now, Errand& errand);
   void AskForWords(Time now);
   Next Allowed(Time now, const Errand& errand) const;
+  // In that phase, for an answer to `out`; to be seen to again after so long.
+  void Wait(Time now, Errand& errand, Phase phase, std::vector<Claim::Out> out, Span again);
   void Ask(Time now, Errand& errand);
-  void Write(Time now, Errand& errand, End end, std::string value, bool kept = true);
+  void Write(Time now, Errand& errand, End end, std::string value);
   void Lost(Time now, Errand& errand);
   void Watch(Time now, Errand& errand);
   void Watched(Time now, Errand& errand);
--- a/src/takeover/holder.cpp
+++ b/src/takeover/holder.cpp
@@ -90,14 +90,7 @@
   return answer;
 }
 
-// ---- Starting anew
-// ------------------------------------------------------------------------------------------
-
-std::optional<std::size_t> Holder::PlaceIn(const std::array<std::string, kSeats>& seats) const {
-  auto at = std::ranges::find(seats, self_);
-  if (at == seats.end()) return std::nullopt;
-  return static_cast<std::size_t>(at - seats.begin());
-}
+// ---- Starting anew ------------------------------------------------------------------------------------
 
 bool Holder::Vouches(const std::string& who, const std::string& third) const {
   auto at = vouched_.find(who);
@@ -108,9 +101,9 @@
   if (!young(now)) return true;
   if (!seats_of_) return false;
   auto seats = seats_of_(work);
-  auto own = PlaceIn(seats);
-  if (!own) return false;
-  const std::string &one = seats[(*own + 1) % kSeats], &other = seats[(*own + 2) % kSeats];
+  auto own = static_cast<std::size_t>(std::ranges::find(seats, self_) - seats.begin());
+  if (own == kSeats) return false;
+  const std::string &one = seats[(own + 1) % kSeats], &other = seats[(own + 2) % kSeats];
   return Vouches(one, other) && Vouches(other, one);
 }
 
@@ -144,14 +137,10 @@
   for (const auto& [work, slot] : slots_) {
     auto seats = seats_of_(work);
     if (std::ranges::find(seats, asker.name) == seats.end()) continue;
-    Message copy = Answer(Kind::kCopy, asked);
-    copy.work = work;
-    copy.kept = slot.kept;
-    copy.version = slot.version;
-    copy.state = slot.state;
-    copy.promised = slot.promised;
-    if (!slot.state.steps.empty()) copy.age = now - slot.first;
-    all.push_back(std::move(copy));
+    Message of = asked;
+    of.work = work;
+    all.push_back(Tell(now, Kind::kCopy, of, slot));
+    all.back().promised = slot.promised;
   }
   all[0].version = static_cast<std::uint32_t>(all.size() - 1);
   return all;
--- a/src/takeover/holder.h
+++ b/src/takeover/holder.h
@@ -70,7 +70,6 @@
     std::optional<Message> word;
     std::map<std::string, Message> copies;
   };
-  std::optional<std::size_t> PlaceIn(const std::array<std::string, kSeats>& seats) const;
   bool Vouches(const std::string& who, const std::string& third) const;
   Lives LivesOf(const std::string& work) const;
   void Merge(Time now, const Message& copy);
--- a/src/takeover/seats.cpp
+++ b/src/takeover/seats.cpp
@@ -3,7 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <stdexcept>
+#include <utility>
 
 namespace peatbend::takeover {
 
@@ -24,31 +26,25 @@
 
 std::array<std::size_t, kSeats> Seats::Of(const std::string& work) const {
   std::uint64_t of_work = XXH3_64bits(work.data(), work.size());
-  auto weight = [&](std::size_t i) {
+  std::vector<std::pair<std::uint64_t, std::size_t>> order;
+  for (std::size_t i = 0; i < all_.size(); ++i) {
     std::uint64_t both[2] = {of_work, hashes_[i]};
-    return XXH3_64bits(both, sizeof both);
-  };
+    order.emplace_back(XXH3_64bits(both, sizeof both), i);
+  }
+  std::ranges::sort(order, std::greater<>());
   std::array<std::size_t, kSeats> chosen{};
   for (std::size_t n = 0; n < kSeats; ++n) {
     // The highest in a zone that has none yet; where all zones have one, the highest of the rest.
-    std::size_t best = all_.size();
-    bool best_new = false;
-    std::uint64_t best_weight = 0;
-    for (std::size_t i = 0; i < all_.size(); ++i) {
-      bool is_new = true, taken = false;
-      for (std::size_t m = 0; m < n; ++m) {
-        taken = taken || chosen[m] == i;
-        is_new = is_new && all_[chosen[m]].zone != all_[i].zone;
-      }
-      if (taken) continue;
-      std::uint64_t weighs = weight(i);
-      bool better = best == all_.size() || is_new > best_new || (is_new == best_new && weighs > best_weight);
-      if (!better) continue;
-      best = i;
-      best_new = is_new;
-      best_weight = weighs;
-    }
-    chosen[n] = best;
+    auto has = [&](auto same) {
+      return std::any_of(chosen.begin(), chosen.begin() + static_cast<long>(n), same);
+    };
+    auto taken = [&](const auto& one) { return has([&](std::size_t i) { return i == one.second; }); };
+    auto is_new = [&](const auto& one) {
+      return !has([&](std::size_t i) { return all_[i].zone == all_[one.second].zone; });
+    };
+    auto best = std::ranges::find_if(order, is_new);
+    if (best == order.end()) best = std::ranges::find_if_not(order, taken);
+    chosen[n] = best->second;
   }
   return chosen;
 }
--- a/src/takeover/wire.cpp
+++ b/src/takeover/wire.cpp
@@ -15,16 +15,14 @@
 constexpr std::size_t kMostName = 64, kMostVouches = 1024;
 constexpr std::uint64_t kMostAge = 86'400'000'000'000;  // ns: a day
 
-json::binary_t Bytes(const std::string& text) { return json::binary_t({text.begin(), text.end()}); }
-
 json ToJson(const Author& author) { return json::array({author.name, author.life, author.go}); }
 json ToJson(const Ballot& ballot) { return json::array({ballot.round, ToJson(ballot.author)}); }
 json ToJson(const State& state) {
   json steps = json::array();
   for (const Step& step : state.steps)
     steps.push_back(json::array({ToJson(step.by), step.number, step.server, step.may_have_run}));
-  return json::array({std::move(steps), static_cast<unsigned>(state.end), json::binary(Bytes(state.value)),
-                      state.kept, state.let_go});
+  return json::array(
+      {std::move(steps), static_cast<unsigned>(state.end), net::Blob(state.value), state.kept, state.let_go});
 }
 
 bool Read(const json* from, Author& author) {
@@ -105,9 +103,7 @@
 
 Fault Decode(std::string_view bytes, std::uint64_t seats, std::vector<Message>& messages) {
   messages.clear();
-  net::DepthGuard guard(kDeepest + 1);
-  if (!json::sax_parse(bytes, &guard, json::input_format_t::msgpack)) return Fault::kMalformed;
-  json array = json::from_msgpack(bytes, true, false);
+  json array = net::Unpack(bytes, kDeepest + 1);
   if (array.is_discarded()) return Fault::kMalformed;
   Fields fields(array);
   std::uint64_t its_seats = 0;
