--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -23,14 +23,16 @@
 std::map<std::string, int> g_attempts;
 int g_twice = 0;
 
-// Reads a body at the given speed; pieces of what a slow peer takes in 5 ms.
+// Reads a body at the given speed, in pieces of 5 ms; 0: as it comes.
 bool ReadBody(Reader& from, std::size_t length, double bytes_a_ms) {
   std::string piece;
-  for (std::size_t left = length; left > 0;) {
+  double begun = NowMs();
+  for (std::size_t taken = 0; taken < length;) {
+    std::size_t left = length - taken;
     std::size_t take = bytes_a_ms > 0 ? std::min(left, static_cast<std::size_t>(bytes_a_ms * 5)) : left;
     if (!from.Bytes(take, piece)) return false;
-    left -= take;
-    if (bytes_a_ms > 0) SleepMs(5);
+    taken += take;
+    if (bytes_a_ms > 0) SleepMs(begun + static_cast<double>(taken) / bytes_a_ms - NowMs());
   }
   return true;
 }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -135,8 +135,6 @@
     buffer_.erase(0, count);
     return true;
   }
-  std::size_t held() const { return buffer_.size(); }
-  std::string TakeHeld() { return std::exchange(buffer_, {}); }
 
  private:
   bool More() {
@@ -394,9 +392,8 @@
 
 // Starts one router by RUN, the deploy file's command, and waits until PING is answered +PONG. Its port.
 inline int StartRouter(Discovery& discovery, int memory_mb, int sockets) {
-  char folder[] = "/tmp/review-XXXXXX";
-  if (mkdtemp(folder) == nullptr) std::exit(2);
-  g_folder = folder;
+  g_folder = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+  if (mkdtemp(g_folder.data()) == nullptr) std::exit(2);
   int port = 0;
   close(ListenAnywhere(port));  // free a moment ago
   std::string listen = "127.0.0.1:" + std::to_string(port), source = "127.0.0.1:" + std::to_string(discovery.port());
