Name the read of the large value tests apart from the one of rules_stage.h

Cause: several sources are compiled as one. With one more test file in the list rules_test.cpp came behind large_value_test.cpp, whose kRead in the unnamed namespace then hid the one that rules_stage.h gives to rules_test.cpp. Change: the constant of large_value_test.cpp is kLargeRead. No check changed.

--- a/tests/net/large_value_test.cpp
+++ b/tests/net/large_value_test.cpp
@@ -9,7 +9,7 @@
 namespace peatbend::net::test {
 namespace {
 
-const std::string kRead = Get(kKey, "c=read,t=acme,d=1900");
+const std::string kLargeRead = Get(kKey, "c=read,t=acme,d=1900");
 const std::string kTail = "\r\n$3\r\nhit\r\n$-1\r\n";
 
 // Bytes that differ, so that a piece lost or twice shows.
@@ -38,7 +38,7 @@
 TEST_CASE("a value of 4 MiB reaches the client as it comes, from a member and from the origin") {
   const std::string value = Large(kMost);
   Stage stage(Stage::Says(Opens(kMost) + value.substr(0, 1000)));
-  End& client = stage.Client(kRead);
+  End& client = stage.Client(kLargeRead);
   const std::string opens = "$" + std::to_string(kMost) + "\r\n";
   stage.Until([&] { return client.got == opens + value.substr(0, 1000); });  // long before the last byte
   End& member = stage.member.ends.front();
@@ -48,7 +48,7 @@
   CHECK(client.got == Bulk(value));
 
   stage.Rest();
-  End& second = stage.Client(kRead);  // on the connection that the value came on
+  End& second = stage.Client(kLargeRead);  // on the connection that the value came on
   stage.Until([&] { return stage.origin.Count("GET /") == 1; });
   End& origin = stage.origin.ends.front();
   origin.Say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kMost) + "\r\n\r\n" +
@@ -114,7 +114,7 @@
 TEST_CASE("a value that breaks off, or is spoilt at its end, looks broken, and is not asked for again") {
   const std::string value = Large(100000);
   Stage stage(Stage::Says(Opens(100000) + value.substr(0, 80000)));
-  End& client = stage.Client(kRead);
+  End& client = stage.Client(kLargeRead);
   const std::string opens = "$100000\r\n";
   stage.Until([&] { return client.got.size() == opens.size() + 80000; });
   End& member = stage.member.ends.front();
@@ -179,7 +179,7 @@
     end.Say(end.got.find("00000000000000aa") == std::string::npos ? Opens(kMost) + value + kTail
                                                                   : Value("v"));
   });
-  End& client = Deaf(stage, Get("00000000000000aa", "c=read,d=1900") + kRead);
+  End& client = Deaf(stage, Get("00000000000000aa", "c=read,d=1900") + kLargeRead);
   stage.Until([&] { return stage.router.counters().attempts == 2; });
   stage.Rest();
   client.Listens(true);
