Log which requests their server has not received when a repeat's window ends

Change: the balancer states by when an attempt must be delivered (Send::deliver_within: the window, as for the first byte); at that time the connection logs and counts (undelivered) what is queued in the router and what its server has not acknowledged. Nothing acts on it yet. The limits of an attempt are one struct on their way from the balancer to the connection.

--- a/src/member/attempt.h
+++ b/src/member/attempt.h
@@ -8,6 +8,12 @@
 
 namespace peatbend::net {
 
+struct AttemptLimits {
+  Duration timeout{};  // from the start to the answer; the server is told what is left of it
+  TimePoint begin_by = TimePoint::max();    // the first byte is written by then, or not at all
+  TimePoint deliver_by = TimePoint::max();  // the server must have received the last byte by then
+};
+
 class Attempt {
  public:
   virtual ~Attempt() = default;
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -1,11 +1,14 @@
 #include "member/member_connections.h"
 
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <algorithm>
 #include <cerrno>
 
+#include "base/socket_delivery.h"
+
 namespace peatbend::net {
 namespace {
 constexpr std::size_t kMostUnread = 128 * 1024;  // bytes read ahead of what is taken
@@ -33,12 +36,13 @@
   return true;
 }
 
-void MemberConnection::Begin(Attempt& attempt, const Request& request, AttemptTimes times) {
+void MemberConnection::Begin(Attempt& attempt, const Request& request, const AttemptLimits& limits) {
   attempt_ = &attempt;
   request_ = &request;
-  deadline_ = times.deadline;
+  deadline_ = home_.clock_.Now() + limits.timeout;
   begun_ = dispatched_ = passing_value_ = paused_ = false;
-  begin_by_ = times.begin_by;
+  begin_by_ = limits.begin_by;
+  deliver_by_ = limits.deliver_by;
   if (!connected_) return ArmDialTimer();
   timer_.Stop();
   Write();
@@ -55,8 +59,10 @@
 // Encoded now, not when the dial began: what the server is told of the time is what is left.
 void MemberConnection::Write() {
   begun_ = true;
+  begun_at_ = home_.clock_.Now();
+  if (deliver_by_ != TimePoint::max()) timer_.Set(deliver_by_ - begun_at_);
   BufferPtr text = NewBuffer();
-  codec_->Encode(*request_, deadline_ - home_.clock_.Now(), text.get());
+  codec_->Encode(*request_, deadline_ - begun_at_, text.get());
   if (WriteNow(socket_.get(), text.get())) Written();
 }
 
@@ -72,6 +78,10 @@
   return begun_ && evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
 }
 
+bool MemberConnection::delivered() const {
+  return written() && UnacknowledgedBytes(bufferevent_getfd(socket_.get())) == 0;
+}
+
 void MemberConnection::Abandon() {
   attempt_ = nullptr;
   home_.Close(*this);
@@ -157,16 +167,34 @@
   Break();
 }
 
-// The connection did not come up in time, or has stood idle long enough. One that is too late for its attempt
-// alone is no failure to connect: the module counts those against the server.
+// The connection did not come up in time, its request was not delivered in time, or it has stood idle long
+// enough. One that is too late for its attempt alone is no failure to connect: the module counts those
+// against the server.
 void MemberConnection::OutOfTime() {
-  bool dialling = attempt_ != nullptr && !begun_;
-  if (!dialling || begin_by_ > up_by_) return Break();
+  if (attempt_ != nullptr && begun_) return CheckDelivery();
+  if (attempt_ == nullptr || begin_by_ > up_by_) return Break();
   Attempt* attempt = std::exchange(attempt_, nullptr);
   home_.Close(*this);
   attempt->TooLate();
 }
 
+void MemberConnection::CheckDelivery() {
+  if (delivered()) return;
+  ReportUndelivered();
+}
+
+// Tells what the router still has to send from what the kernel has to deliver.
+void MemberConnection::ReportUndelivered() {
+  ++home_.counters_.undelivered;
+  std::size_t queued = evbuffer_get_length(bufferevent_get_output(socket_.get()));
+  std::size_t unacknowledged = UnacknowledgedBytes(bufferevent_getfd(socket_.get()));
+  auto age = std::chrono::duration_cast<Milliseconds>(home_.clock_.Now() - begun_at_);
+  home_.log_.Line("undelivered",
+                  fmt::format("{} has not received a request in time: {} bytes of value, {} ms after the "
+                              "first byte {} are queued and {} unacknowledged",
+                              member_.name, ValueSize(*request_), age.count(), queued, unacknowledged));
+}
+
 void MemberConnection::Break() {
   bool sent = attempt_ != nullptr && written();
   Attempt* attempt = std::exchange(attempt_, nullptr);
@@ -230,7 +258,7 @@
   if (member.connections.empty()) members_.erase(std::string(member.name));
 }
 
-MemberConnection* MemberConnections::Begin(Attempt& attempt, const Request& request, AttemptTimes times) {
+MemberConnection* MemberConnections::Begin(Attempt& attempt, const Request& request, AttemptLimits limits) {
   auto found = members_.find(attempt.member());
   if (found == members_.end() || found->second.to_size == 0) {
     log_.Line("member unknown", attempt.member());
@@ -262,8 +290,8 @@
       return nullptr;
     }
   }
-  times.begin_by = std::min(times.begin_by, member.begin_until);
-  connection->Begin(attempt, request, times);
+  limits.begin_by = std::min({limits.begin_by, limits.deliver_by, member.begin_until});
+  connection->Begin(attempt, request, limits);
   return connection;
 }
 
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -27,12 +27,6 @@
 
 struct Member;
 
-// The limits of one attempt.
-struct AttemptTimes {
-  TimePoint deadline{};                   // the router waits for its answer so long, and tells the server so
-  TimePoint begin_by = TimePoint::max();  // its first byte must not be written later
-};
-
 class MemberConnection {
  public:
   MemberConnection(MemberConnections& home, Member& member, std::unique_ptr<ServerCodec> codec);
@@ -42,7 +36,7 @@
   // Begins the attempt at once, or as soon as the connection is up, or not at all if that is too late.
   // `request` must live as long as the attempt is carried, and is told to the server with what is left till
   // the deadline when its first byte is written.
-  void Begin(Attempt& attempt, const Request& request, AttemptTimes times);
+  void Begin(Attempt& attempt, const Request& request, const AttemptLimits& limits);
   // What waits for the connection to come up does not begin later.
   void BeginBy(TimePoint latest);
   // The flow no longer waits: what comes for it must not be taken for another's answer, so this closes.
@@ -53,6 +47,9 @@
   void Resume();
   // Whether the request's last byte was handed to the socket. Queued here is not written.
   bool written() const;
+  // Whether the server has received the last byte: its system has acknowledged it. What was handed to the
+  // socket may still wait there.
+  bool delivered() const;
   // Whether its first byte was.
   bool begun() const { return begun_; }
 
@@ -71,6 +68,8 @@
   void Finish(FlowReply reply, bool keep);
   void Break();
   void OutOfTime();
+  void CheckDelivery();
+  void ReportUndelivered();
   void ArmDialTimer();
   void NoteUnsolicitedBytes();
 
@@ -78,9 +77,10 @@
   Member& member_;
   std::unique_ptr<ServerCodec> codec_;
   Attempt* attempt_ = nullptr;
-  const Request* request_ = nullptr;  // the attempt's
-  TimePoint deadline_{};              // the attempt's, told to the server
-  TimePoint up_by_{}, begin_by_{};    // of a dial, and of the attempt that waits for it
+  const Request* request_ = nullptr;                      // the attempt's
+  TimePoint deadline_{};                                  // the attempt's, told to the server
+  TimePoint up_by_{}, begin_by_{};                        // of a dial, and of the attempt that waits for it
+  TimePoint begun_at_{}, deliver_by_ = TimePoint::max();  // of the attempt
   bool connected_ = false;
   bool begun_ = false;          // the attempt's first byte was handed to the socket
   bool dispatched_ = false;     // its last byte was, and counted
@@ -89,7 +89,7 @@
   bool outdated_ = false;  // the member has moved or started anew since it was dialled: ends with its attempt
   TimePoint idle_since_{};
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
-  Timer timer_;  // dialling: not up in time; idle: to be closed
+  Timer timer_;  // dialling: not up in time; sending: not delivered in time; idle: to be closed
   BuffereventPtr socket_;
 };
 
@@ -112,7 +112,7 @@
 
   void Learn(Scope scope, const std::vector<ServerListEntry>& entries);
   // Null if no connection can be tried.
-  MemberConnection* Begin(Attempt& attempt, const Request& request, AttemptTimes times);
+  MemberConnection* Begin(Attempt& attempt, const Request& request, AttemptLimits limits);
   void CloseIdle(const std::string& member);
   // No request that comes later goes out on a connection that stands now.
   void Outdate(Member& member);
--- a/src/module/attempts.cpp
+++ b/src/module/attempts.cpp
@@ -80,7 +80,10 @@
   Server& server = servers_[index];
   if (!MaySendTo(request, server)) return RejectOrFail(request);
   Duration begin_within = LatestStart(request) - now_;  // before this attempt is recorded
-  actions_->emplace_back(Send{request.id, ServerId{server.id}, request.deadline - now_, begin_within});
+  TimePoint deliver_by = LatestDelivery(request);
+  Duration deliver_within = deliver_by == TimePoint::max() ? Duration::max() : deliver_by - now_;
+  actions_->emplace_back(
+      Send{request.id, ServerId{server.id}, request.deadline - now_, begin_within, deliver_within});
   int number = static_cast<int>(request.attempts.size());
   bool counts = settings_.attempt_window && number > 0 && !request.next_send_exempt;
   if (counts) extra_attempts_.push_back({now_, {request.id, number}});
--- a/src/module/balancer_impl.h
+++ b/src/module/balancer_impl.h
@@ -258,7 +258,11 @@
 
   void PruneAttemptWindow();
   bool WithinAttemptLimit(const Request& request) const;
-  TimePoint LatestStart(const Request& request) const;
+  TimePoint LatestDelivery(const Request& request) const;
+  // The latest time at which the next attempt may begin.
+  TimePoint LatestStart(const Request& request) const {
+    return std::min(request.deadline, LatestDelivery(request));
+  }
   bool MaySendAnother(const Request& request) const;
   bool MaySendTo(const Request& request, const Server& server) const;
   bool MayReject(const Request& request) const;
--- a/src/module/send_rules.cpp
+++ b/src/module/send_rules.cpp
@@ -18,11 +18,11 @@
   return static_cast<double>(extra_attempts_.size() + 1) <= settings_.free_resends.value_or(0) + earned;
 }
 
-// The latest time at which the next attempt may begin: before the deadline and, once an attempt of a keyed
-// request may have run, within the deduplication window.
-TimePoint Balancer::Impl::LatestStart(const Request& request) const {
+// The latest time at which the next attempt may reach its server whole, since an attempt counts once its last
+// byte has arrived: once an attempt of a keyed request may have run, within the deduplication window.
+TimePoint Balancer::Impl::LatestDelivery(const Request& request) const {
   const ClassSettings& cls = settings_.classes[request.cls];
-  TimePoint latest = request.deadline;
+  TimePoint latest = TimePoint::max();
   for (const Attempt& attempt : request.attempts) {
     if (!attempt.may_have_run || cls.effect == Effect::kSafe) continue;
     bool keyed = cls.effect == Effect::kKeyed;
--- a/src/stage/balancer_driver.cpp
+++ b/src/stage/balancer_driver.cpp
@@ -238,7 +238,7 @@
   bool wanted = transaction != nullptr && transaction->held_attempt >= 0;
   if (wanted && !transaction->closed() && transaction->deadline() > clock_.Now()) {
     int attempt = std::exchange(transaction->held_attempt, -1);
-    return StartAttempt(*transaction, attempt, transaction->held_limit, transaction->held_begin_by);
+    return StartAttempt(*transaction, attempt, transaction->held_limits);
   }
   if (operation_tracker_ != nullptr) operation_tracker_->OnAttemptEnded(permitted.id, false);
   if (wanted) DropHeldAttempt(*transaction);
--- a/src/stage/balancer_driver.h
+++ b/src/stage/balancer_driver.h
@@ -134,7 +134,8 @@
   void Execute(const CloseIdleConnections& release);
   void Execute(const peatbend::Log& line);
   void Execute(const ReportTrial& trial);
-  void StartAttempt(Transaction& transaction, int attempt, Duration give_up_after, TimePoint begin_by);
+  // The time until the transaction's deadline bounds `limits.timeout`; zero: only that.
+  void StartAttempt(Transaction& transaction, int attempt, AttemptLimits limits);
   // Reports to the balancer that the attempt was never sent.
   void ReportNeverSent(RequestId id, int attempt, const std::string& member);
   // Gives up the attempt that waits for a send permit, if any.
--- a/src/stage/balancer_driver_actions.cpp
+++ b/src/stage/balancer_driver_actions.cpp
@@ -18,22 +18,20 @@
     ++counters_.outcomes[static_cast<std::size_t>(Result::kNeverSent)];
     return ReportNeverSent(send.id, attempt, send.server.name);
   }
-  TimePoint begin_by = transaction->BeginBy(clock_.Now(), send.begin_within);
-  if (!transaction->tracked) return StartAttempt(*transaction, attempt, send.give_up_after, begin_by);
+  AttemptLimits limits = transaction->LimitsOf(clock_.Now(), send);
+  if (!transaction->tracked) return StartAttempt(*transaction, attempt, limits);
   transaction->held_attempt = attempt;  // until the operation tracker permits it
-  transaction->held_limit = send.give_up_after;
-  transaction->held_begin_by = begin_by;
+  transaction->held_limits = limits;
   operation_tracker_->RequestSendPermit(send.id, send.server.name);
 }
 
-void BalancerDriver::StartAttempt(Transaction& transaction, int attempt, Duration give_up_after,
-                                  TimePoint begin_by) {
+void BalancerDriver::StartAttempt(Transaction& transaction, int attempt, AttemptLimits limits) {
   Duration left = transaction.deadline() - clock_.Now();
-  Duration limit = give_up_after == Duration::zero() ? left : std::min(left, give_up_after);
+  limits.timeout = limits.timeout == Duration::zero() ? left : std::min(left, limits.timeout);
   if (overload_control_ != nullptr)
     overload_control_->OnSend(transaction.attempts()[static_cast<std::size_t>(attempt)]->member());
   auto& server_attempt = *transaction.attempts()[static_cast<std::size_t>(attempt)];
-  server_attempt.Start(connections_, transaction.request(), limit, begin_by);
+  server_attempt.Start(connections_, transaction.request(), limits);
 }
 
 void BalancerDriver::ReportNeverSent(RequestId id, int attempt, const std::string& member) {
--- a/src/stage/server_attempt.cpp
+++ b/src/stage/server_attempt.cpp
@@ -1,5 +1,7 @@
 #include "stage/server_attempt.h"
 
+#include <algorithm>
+
 #include "member/member_connections.h"
 
 namespace peatbend::net {
@@ -11,14 +13,15 @@
   if (connection_ != nullptr) connection_->Abandon();
 }
 
-void ServerAttempt::Start(MemberConnections& connections, const Request& request, Duration limit,
-                          TimePoint begin_by) {
+void ServerAttempt::Start(MemberConnections& connections, const Request& request,
+                          const AttemptLimits& limits) {
   started_ = clock_.Now();
-  if (limit <= Duration::zero() || started_ > begin_by) return EndWithResult(Result::kNeverSent);
+  bool too_late = started_ > std::min(limits.begin_by, limits.deliver_by);
+  if (limits.timeout <= Duration::zero() || too_late) return EndWithResult(Result::kNeverSent);
   connections_ = &connections;
-  connection_ = connections.Begin(*this, request, {.deadline = started_ + limit, .begin_by = begin_by});
+  connection_ = connections.Begin(*this, request, limits);
   if (connection_ == nullptr) return EndWithResult(Result::kNoConn);
-  timeout_.Set(limit);
+  timeout_.Set(limits.timeout);
 }
 
 bool ServerAttempt::Began(std::size_t length) {
--- a/src/stage/server_attempt.h
+++ b/src/stage/server_attempt.h
@@ -38,10 +38,8 @@
         timeout_(base, [this] { OnTimeout(); }) {}
   ~ServerAttempt() override;
 
-  // Sends the request and waits up to `limit` for the answer. The first byte is written by `begin_by` or not
-  // at all.
-  void Start(MemberConnections& connections, const Request& request, Duration limit,
-             TimePoint begin_by = TimePoint::max());
+  // Sends the request and waits for the answer.
+  void Start(MemberConnections& connections, const Request& request, const AttemptLimits& limits);
   // Ends the attempt. The outcome is kNeverSent if nothing was written yet.
   void Cancel();
   // Whether it waits for its connection to be established, so that nothing has been written.
--- a/src/stage/transaction.cpp
+++ b/src/stage/transaction.cpp
@@ -51,6 +51,14 @@
   client->EndValue(position_, complete);
 }
 
+AttemptLimits Transaction::LimitsOf(TimePoint now, const Send& send) const {
+  AttemptLimits limits;
+  limits.timeout = send.give_up_after;
+  limits.begin_by = BeginBy(now, send.begin_within);
+  if (send.deliver_within != Duration::max()) limits.deliver_by = now + send.deliver_within;
+  return limits;
+}
+
 bool Transaction::waits_for_server() const {
   if (closed()) return false;
   return std::ranges::none_of(attempts_,
--- a/src/stage/transaction.h
+++ b/src/stage/transaction.h
@@ -47,6 +47,8 @@
   TimePoint BeginBy(TimePoint now, Duration within) const {
     return within < deadline_ - now ? now + within : TimePoint::max();
   }
+  // The limits of an attempt of the balancer's.
+  AttemptLimits LimitsOf(TimePoint now, const Send& send) const;
   // Cancels the attempts that have not written anything yet.
   void CancelUnstarted();
   // kLost: failed, or the client left.
@@ -66,8 +68,8 @@
   bool tracked = false;
   bool ending = false;    // the balancer has ended the request, and the outcome is being recorded
   int held_attempt = -1;  // waits for a send permit; -1: none
-  Duration held_limit{}, retry_after{};
-  TimePoint held_begin_by = TimePoint::max();
+  AttemptLimits held_limits;
+  Duration retry_after{};
 
  private:
   Counters::PerClass& class_counters();
--- a/tests/failure_handling_test.cpp
+++ b/tests/failure_handling_test.cpp
@@ -81,6 +81,39 @@
   EXPECT_EQ(BeginWithinOf(router.FinishAttempt(3, Result::kNoConn)), 900ms);
 }
 
+Duration DeliverWithinOf(const std::vector<Action>& actions) {
+  auto sends = ActionsOf<Send>(actions);
+  return sends.empty() ? Duration::zero() : sends.front().deliver_within;
+}
+
+// An attempt counts once its last byte has arrived, which may be long after its first.
+TEST(Effects, AFurtherAttemptOfAKeyedRequestMustReachItsServerWithinItsWindow) {
+  TestRouter router;
+  router.UpdateServers(MakeServerList(3));
+  EXPECT_EQ(DeliverWithinOf(router.SendRequest(1, 5, kKeyedWrite)), Duration::max());
+  router.now += 100ms;
+  EXPECT_EQ(DeliverWithinOf(router.FinishAttempt(1, Result::kNoConn)), Duration::max());  // it never ran
+  router.now += 100ms;
+  EXPECT_EQ(DeliverWithinOf(router.FinishAttempt(1, Result::kReset)), 295ms);
+  router.now += 100ms;
+  EXPECT_EQ(DeliverWithinOf(router.FinishAttempt(1, Result::kBad)), 195ms);
+  EXPECT_EQ(DeliverWithinOf(router.SendRequest(2, 6, kRead)), Duration::max());
+  EXPECT_EQ(DeliverWithinOf(router.FinishAttempt(2, Result::kReset)), Duration::max());
+}
+
+// Every server discards repeats, so that the client may be told to retry.
+TEST(Effects, AKeyedRequestWhoseRepeatWasNotDeliveredInTimeIsAnsweredAtOnce) {
+  TestRouter router;
+  router.UpdateServers(MakeServerList(3));
+  router.SendRequest(1, 5, kKeyedWrite);
+  router.now += 100ms;
+  router.FinishAttempt(1, Result::kBad);
+  router.now += 295ms;
+  auto after = router.FinishAttempt(1, Result::kCancelled);
+  EXPECT_TRUE(ActionsOf<Send>(after).empty());
+  EXPECT_EQ(ActionsOf<Reject>(after).size(), 1u);
+}
+
 TEST(Effects, AKeyedRequestStaysInItsZoneAndIsNotRejectedOnceItMayHaveRun) {
   Settings settings = BasicSettings();
   settings.cache_aside = false;
--- a/tests/net/attempt_fixture.h
+++ b/tests/net/attempt_fixture.h
@@ -42,9 +42,21 @@
 
   // Starts an attempt that must begin within `begin_within`.
   void Start(Duration begin_within = kAttemptTimeout, Duration limit = kAttemptTimeout) {
+    Start({.timeout = limit, .begin_by = clock_.Now() + begin_within});
+  }
+  void Start(const AttemptLimits& limits) {
     attempt_.emplace(*this, stage.base.get(), clock_, RequestId{1}, 0, "box-1");
-    attempt_->Start(connections_, request_, limit, clock_.Now() + begin_within);
+    attempt_->Start(connections_, request_, limits);
+  }
+  // Further attempts write this value.
+  void SetValue(std::string value) {
+    value_ = std::move(value);
+    request_.write = true;
+    request_.command = "OBJ.SET";
+    request_.value = value_;
   }
+  TimePoint Now() const { return clock_.Now(); }
+  ServerAttempt& attempt() { return *attempt_; }
   void WaitForOutcome() {
     stage.Until([&] { return outcomes > 0; });
   }
@@ -62,6 +74,7 @@
   Clock clock_;
   Log log_{"test", {}, clock_};
   MemberConnections connections_{stage.base.get(), settings_, tuning_, sockets_, clock_, log_, counters};
+  std::string value_;
   Request request_;
   std::optional<ServerAttempt> attempt_;
 };
