End a keyed repeat that its server has not received when its window is over

Cause: the window bounded a repeat's first byte alone (begin_within). An attempt counts once its last byte has arrived, and nothing ended one that had not arrived by then. Change: at Send::deliver_within the connection asks the kernel whether the server has acknowledged the request. If not, it is closed with a reset, which discards what the kernel holds; the attempt ends as cancelled and the balancer answers at once. It works for any size, since what is asked is whether the bytes have arrived. Moves() is shared by two test files now; RawServer tells the end of a connection.

--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -226,7 +226,9 @@
   // The first byte must not be written later than this after now. An attempt that could not start by then is
   // dropped, and its outcome is kNeverSent.
   Duration begin_within = Duration::max();
-  // The server must have received the last byte at most this long after now. max(): no such limit.
+  // The server must have received the last byte at most this long after now. An attempt that it has not
+  // received whole by then is aborted, so that the rest never arrives, and its outcome is kCancelled. max():
+  // no such limit.
   Duration deliver_within = Duration::max();
 };
 // Final answer. Tells the client that a retry is safe.
--- a/src/member/attempt.h
+++ b/src/member/attempt.h
@@ -28,6 +28,8 @@
   virtual void Broken(bool written) = 0;
   // It must not begin any more, and nothing of it was written.
   virtual void TooLate() = 0;
+  // The server had not received its last byte in time, and what it has not received will not arrive.
+  virtual void Undelivered() = 0;
 };
 
 }  // namespace peatbend::net
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -178,9 +178,14 @@
   attempt->TooLate();
 }
 
+// What the kernel has taken must not arrive later either.
 void MemberConnection::CheckDelivery() {
   if (delivered()) return;
   ReportUndelivered();
+  SetResetOnClose(bufferevent_getfd(socket_.get()), true);
+  Attempt* attempt = std::exchange(attempt_, nullptr);
+  home_.Close(*this);
+  attempt->Undelivered();
 }
 
 // Tells what the router still has to send from what the kernel has to deliver.
--- a/src/stage/server_attempt.h
+++ b/src/stage/server_attempt.h
@@ -56,6 +56,7 @@
   void Answered(FlowReply reply) override { End(std::move(reply)); }
   void Broken(bool written) override { EndWithResult(written ? Result::kReset : Result::kNoConn); }
   void TooLate() override { EndWithResult(Result::kNeverSent); }
+  void Undelivered() override { EndWithResult(Result::kCancelled); }
 
   RequestId id() const { return id_; }
   // The number of the attempt within its request, from 0.
--- a/tests/net/broken_answers_test.cpp
+++ b/tests/net/broken_answers_test.cpp
@@ -14,12 +14,6 @@
 const std::string kNoLength = "HTTP/1.1 200 OK\r\n\r\n";
 const std::string kFromOrigin = "$4\r\nfrom\r\n";
 
-// The list in which these two stand elsewhere.
-void Moves(Stage& stage, const std::string& members) {
-  stage.Watched({R"({"index":42,"snapshot":false,"endpoints":[)" + members + "]}"});
-  stage.Until([&] { return stage.router.counters().server_list_changes == 1; });
-}
-
 // A reset is no end: an answer of unknown length may go on behind it.
 TEST_CASE("broken off: an answer over HTTP of unknown length that is reset is not served") {
   RawServer origin;
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -44,6 +44,7 @@
     ssize_t size = 0;
     while ((size = recv(connection_, piece, sizeof piece, 0)) > 0)
       got.append(piece, static_cast<std::size_t>(size));
+    ended = ended || size == 0 || (errno != EAGAIN && errno != EINTR);
     return got.ends_with(end);
   }
   void Say(std::string_view text) {
@@ -52,6 +53,7 @@
   void Close() {
     if (connection_ >= 0) close(std::exchange(connection_, -1));
     got.clear();
+    ended = false;
   }
   // The other end sees a reset, not an end.
   void Reset() {
@@ -61,7 +63,8 @@
   }
 
   int port = 0;
-  std::string got;  // on the connection held
+  std::string got;     // on the connection held
+  bool ended = false;  // it was closed or reset by the other end, as Got has seen
 
  private:
   static constexpr int kBacklog = 16;
--- a/tests/net/rules_stage.h
+++ b/tests/net/rules_stage.h
@@ -15,4 +15,10 @@
   return stage.router.counters().outcomes[static_cast<std::size_t>(result)];
 }
 
+// Discovery lists these members, by their entries, at other addresses.
+inline void Moves(Stage& stage, const std::string& members) {
+  stage.Watched({R"({"index":42,"snapshot":false,"endpoints":[)" + members + "]}"});
+  stage.Until([&] { return stage.router.counters().server_list_changes == 1; });
+}
+
 }  // namespace peatbend::net::test
