Discard with its connection what a server has not received of a request given up

What callers see: a write is out of time, cancelled, or answered early, and arrives whole seconds later: behind a second attempt, or behind the client's own repeat after its window. Cause: a close leaves the kernel to deliver what it has taken, for as long as the server needs; and a connection was kept for the next request as soon as the last byte was handed to the kernel. Change: a member connection that ends with a request that its server has not acknowledged whole is reset; it is kept only if the request was delivered. Before: the two cases added failed, in three runs of 256 KiB at a server that reads nothing and has a receive buffer of 64 KiB: out of time, cancelled, answered early with -ERR; the request came whole each time. After: both pass, with the four before.

--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -20,7 +20,11 @@
   ++home_.sockets_.in_use;
 }
 
-MemberConnection::~MemberConnection() { --home_.sockets_.in_use; }
+// A request that is given up, or answered before its server has received it, must not arrive later.
+MemberConnection::~MemberConnection() {
+  --home_.sockets_.in_use;
+  if (begun_) SetResetOnClose(bufferevent_getfd(socket_.get()), !delivered());
+}
 
 bool MemberConnection::Dial(const sockaddr_storage& address, int size, Duration timeout) {
   socket_.reset(bufferevent_socket_new(home_.base_, -1, BEV_OPT_CLOSE_ON_FREE));
@@ -100,7 +104,7 @@
   if (reply) {
     bool more = evbuffer_get_length(bufferevent_get_input(socket_.get())) > 0;
     if (more) NoteUnsolicitedBytes();
-    Finish(std::move(*reply), codec_->reusable() && written() && !more);
+    Finish(std::move(*reply), codec_->reusable() && delivered() && !more);
   }
 }
 
@@ -178,11 +182,9 @@
   attempt->TooLate();
 }
 
-// What the kernel has taken must not arrive later either.
 void MemberConnection::CheckDelivery() {
   if (delivered()) return;
   ReportUndelivered();
-  SetResetOnClose(bufferevent_getfd(socket_.get()), true);
   Attempt* attempt = std::exchange(attempt_, nullptr);
   home_.Close(*this);
   attempt->Undelivered();
--- a/tests/net/delivery_test.cpp
+++ b/tests/net/delivery_test.cpp
@@ -67,6 +67,41 @@
   CHECK_FALSE(ArrivesWhole(fixture.stage, server, "v\r\n"));
 }
 
+// Guards against an effect after the request was given up: the close left the kernel to deliver what it had
+// taken.
+TEST_CASE("delivery: an attempt that is out of time, or is cancelled, does not arrive later") {
+  AttemptFixture fixture;
+  RawServer server(kReceiveBuffer);
+  fixture.SetServer(server.port);
+  fixture.SetValue(std::string(kTakenByKernel, 'v'));
+  SUBCASE("out of time") { fixture.Start({.timeout = milliseconds(100)}); }
+  SUBCASE("cancelled") {
+    fixture.Start({.timeout = kAttemptTimeout});
+    fixture.stage.Until([&] { return fixture.counters.dispatches == 1; });
+    fixture.attempt().Cancel();
+  }
+  fixture.WaitForOutcome();
+  fixture.stage.Rest();  // a connection is closed in the next turn of the loop
+  CHECK(fixture.counters.dispatches == 1);
+  REQUIRE(server.Accepted());
+  CHECK_FALSE(ArrivesWhole(fixture.stage, server, "v\r\n"));
+}
+
+// Guards against a second copy: the connection of an attempt that was answered early was kept, and the rest
+// of the request arrived behind the answer.
+TEST_CASE("delivery: an attempt answered before its server has received it does not arrive later") {
+  AttemptFixture fixture;
+  RawServer server(kReceiveBuffer);
+  fixture.SetServer(server.port);
+  fixture.SetValue(std::string(kTakenByKernel, 'v'));
+  fixture.Start({.timeout = kAttemptTimeout});
+  fixture.stage.Until([&] { return fixture.counters.dispatches == 1 && server.Accepted(); });
+  server.Say("-ERR failed\r\n");
+  fixture.WaitForOutcome();
+  CHECK(fixture.outcome == Result::kBad);
+  CHECK_FALSE(ArrivesWhole(fixture.stage, server, "v\r\n"));
+}
+
 // The limit is on the delivery alone: a server that has the request may work on it for longer.
 TEST_CASE("delivery: an attempt delivered in time may be answered later") {
   AttemptFixture fixture;
