Let nothing of a write arrive after its router was killed

What callers see: a router is killed while a server takes a write slowly; the client asks again at the process that follows, and the write of the dead one still arrives, possibly after the window. Cause: the kernel closes a dead process's descriptors in good order and goes on delivering what it has taken. The reset of requests given up is set when a connection is closed, which a killed process does not do. Before: the case added (a real process, an unsafe write of 256 KiB at a cache server that read nothing, SIGKILL) failed: the write came whole. After: it passes.

--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -65,6 +65,8 @@
   begun_ = true;
   begun_at_ = home_.clock_.Now();
   if (deliver_by_ != TimePoint::max()) timer_.Set(deliver_by_ - begun_at_);
+  // Set ahead for a process that is killed: the kernel would go on delivering what it has taken.
+  if (request_->write) SetResetOnClose(bufferevent_getfd(socket_.get()), true);
   BufferPtr text = NewBuffer();
   codec_->Encode(*request_, deadline_ - begun_at_, text.get());
   if (WriteNow(socket_.get(), text.get())) Written();
--- a/tests/net/start_test.cpp
+++ b/tests/net/start_test.cpp
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "net/raw_server.h"
 #include "net/stage.h"
 #include "processes/router_process.h"
 
@@ -183,6 +184,38 @@
   }
 }
 
+// Guards against an effect after the end of its router: the kernel went on delivering what it had taken of a
+// write.
+TEST_CASE("kill: a write that its server has not received does not arrive after its router was killed") {
+  constexpr int kReceiveBuffer = 64 * 1024;  // bytes, of the server
+  const std::string write = Set(kKey, "c=put,d=1900", std::string(256 * 1024, 'v'));
+  RawServer server(kReceiveBuffer);
+  Running running(Running::Mood::kSilent, true, 1);
+  nlohmann::json config = running.Configuration(true, 1);
+  config["known"]["endpoints"][0]["address"] = "127.0.0.1:" + std::to_string(server.port);
+  config["settings"]["specifics"]["mode"] = "through";  // writes go to the cache server
+  config["settings"]["classes"].push_back(
+      {{"name", "put"}, {"objective", 300000000}, {"deadline", 2000000000}, {"effect", "non_idempotent"}});
+  running.router.Write(config.dump());
+  running.Start();
+  CHECK(running.Ask(kPing) == "+PONG\r\n");
+  End client(running.base.get(), -1);
+  client.Connect(running.port());
+  client.Say(write);
+  steady_clock::time_point asked;
+  running.Until([&] {  // the kernel has taken all of it
+    if (steady_clock::now() - asked > 100ms) {
+      running.router.Signal(SIGUSR1);
+      asked = steady_clock::now();
+    }
+    return server.Accepted() && running.Log().find(" dispatches=1 ") != std::string::npos;
+  });
+  running.Kill();
+  bool whole = false;
+  running.Until([&] { return (whole = server.Got("v\r\n")) || server.ended; });
+  CHECK_FALSE(whole);
+}
+
 TEST_CASE("crowd: idle clients while discovery is down do not take the watch's descriptor") {
   Running running(Running::Mood::kDown, true, 1);
   running.Start();
