Stop writing on for a client that has left

What callers see: a client gives up half-way through its time and asks again by the same idempotency key, while its first request is written on up to its deadline; taken slowly, it may arrive after the window of the second. Cause: the end of a request cancelled only attempts that had written nothing. One of which a byte was written counted as begun, though an attempt counts once its last byte has arrived. Change: attempts of a request that has ended must be delivered within 80 ms (0.1 s is what the operators allow after a client left; acknowledgements may be delayed by 40 ms). An attempt that its server has received whole goes on as before, and so does the one whose value is streamed.

--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -58,6 +58,12 @@
   ArmDialTimer();
 }
 
+void MemberConnection::DeliverBy(TimePoint latest) {
+  if (latest >= deliver_by_) return;
+  deliver_by_ = latest;
+  if (begun_) timer_.Set(deliver_by_ - home_.clock_.Now());
+}
+
 void MemberConnection::ArmDialTimer() { timer_.Set(std::min(up_by_, begin_by_) - home_.clock_.Now()); }
 
 // Encoded now, not when the dial began: what the server is told of the time is what is left.
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -39,6 +39,8 @@
   void Begin(Attempt& attempt, const Request& request, const AttemptLimits& limits);
   // What waits for the connection to come up does not begin later.
   void BeginBy(TimePoint latest);
+  // Lowers the time by which the attempt must be delivered.
+  void DeliverBy(TimePoint latest);
   // The flow no longer waits: what comes for it must not be taken for another's answer, so this closes.
   void Abandon();
   // What has come on it since the last answer.
--- a/src/stage/balancer_driver.cpp
+++ b/src/stage/balancer_driver.cpp
@@ -295,7 +295,7 @@
   Transaction* transaction = Find(id);
   if (transaction == nullptr) return;
   if (transaction->closed()) {
-    transaction->CancelUnstarted();
+    transaction->EndAttempts(clock_.Now() + kDeliveryGrace);
     DropHeldAttempt(*transaction);  // the tracker does not reply about an attempt whose client has left
   }
   if (!transaction->finished()) return;
--- a/src/stage/balancer_driver.h
+++ b/src/stage/balancer_driver.h
@@ -112,6 +112,10 @@
   using QueuedEvent = std::variant<ServerListUpdate, RequestAdmitted, ClientGone, StreamStarted, AttemptEnded,
                                    TimerDue, SendPermitted, RequestCompleted, TrialEvent>;
 
+  // A request that has ended may still arrive at a server for so long: less than the 0.1 s that the operators
+  // allow, and more than the 40 ms by which an acknowledgement may be delayed.
+  static constexpr std::chrono::milliseconds kDeliveryGrace{80};
+
   void Enqueue(QueuedEvent event);
   void ProcessQueue();
   void Handle(ServerListUpdate& update);
--- a/src/stage/balancer_driver_actions.cpp
+++ b/src/stage/balancer_driver_actions.cpp
@@ -54,7 +54,7 @@
   if (!transaction.tracked || transaction.finished())
     return SendFinalAnswer(transaction, outcome, retry_after);
   transaction.ending = true;
-  transaction.CancelUnstarted();
+  transaction.EndAttempts(clock_.Now() + kDeliveryGrace);
   transaction.retry_after = retry_after;
   operation_tracker_->RecordOutcome(transaction.id(), outcome, {});
 }
--- a/src/stage/server_attempt.cpp
+++ b/src/stage/server_attempt.cpp
@@ -60,6 +60,10 @@
   EndWithResult(result);
 }
 
+void ServerAttempt::DeliverBy(TimePoint latest) {
+  if (connection_ != nullptr) connection_->DeliverBy(latest);
+}
+
 bool ServerAttempt::dialling() const { return connection_ != nullptr && !connection_->begun(); }
 
 // A request that has not been written completely has not run; the balancer treats it as a failed connection.
--- a/src/stage/server_attempt.h
+++ b/src/stage/server_attempt.h
@@ -42,6 +42,8 @@
   void Start(MemberConnections& connections, const Request& request, const AttemptLimits& limits);
   // Ends the attempt. The outcome is kNeverSent if nothing was written yet.
   void Cancel();
+  // Lowers the time by which the server must have received the last byte.
+  void DeliverBy(TimePoint latest);
   // Whether it waits for its connection to be established, so that nothing has been written.
   bool dialling() const;
   // Whether it has a connection to its server, established or dialling.
--- a/src/stage/transaction.cpp
+++ b/src/stage/transaction.cpp
@@ -65,9 +65,10 @@
                               [](const auto& attempt) { return attempt && attempt->has_connection(); });
 }
 
-void Transaction::CancelUnstarted() {
+void Transaction::EndAttempts(TimePoint deliver_by) {
   for (auto& attempt : attempts_) {
-    if (attempt && attempt->dialling()) attempt->Cancel();
+    if (!attempt || attempt->number() == stream_attempt_) continue;
+    attempt->dialling() ? attempt->Cancel() : attempt->DeliverBy(deliver_by);
   }
 }
 
--- a/src/stage/transaction.h
+++ b/src/stage/transaction.h
@@ -49,8 +49,9 @@
   }
   // The limits of an attempt of the balancer's.
   AttemptLimits LimitsOf(TimePoint now, const Send& send) const;
-  // Cancels the attempts that have not written anything yet.
-  void CancelUnstarted();
+  // Cancels the attempts that have not written anything yet. The others must be delivered by this time, but
+  // for the one whose value is being streamed.
+  void EndAttempts(TimePoint deliver_by);
   // kLost: failed, or the client left.
   enum class Outcome { kServed, kRejected, kLost };
   Outcome outcome() const { return outcome_; }  // valid once finished
--- a/tests/net/delivery_test.cpp
+++ b/tests/net/delivery_test.cpp
@@ -102,6 +102,29 @@
   CHECK_FALSE(ArrivesWhole(fixture.stage, server, "v\r\n"));
 }
 
+// Guards against a double effect: a client gives up and asks again by the same idempotency key, while its
+// first request was written on and arrived after the window of the second.
+TEST_CASE("delivery: what a server has not received soon after its client left does not arrive later") {
+  constexpr milliseconds kAllowedAfterLeave{100};
+  std::size_t size = 0;
+  SUBCASE("the kernel has taken all of it") { size = kTakenByKernel; }
+  SUBCASE("the kernel has taken a part of it") { size = kNotTakenByKernel; }
+  const std::string value(size, 'v');
+  RawServer origin(kReceiveBuffer);
+  Stage stage;
+  Moves(stage, Member("origin", origin.port));
+  End& client = stage.Client(Set(kKey, "c=keyed,d=1900,k=1", value));
+  stage.Until([&] { return stage.router.counters().attempts_to_origin == 1 && origin.Accepted(); });
+  stage.Rest();
+  CHECK(stage.router.counters().dispatches == (size == kTakenByKernel ? 1 : 0));
+  client.Hang();
+  stage.Until([&] { return stage.router.counters().requests_abandoned == 1; });
+  auto left = steady_clock::now();
+  stage.Until([&] { return steady_clock::now() > left + 2 * kAllowedAfterLeave; });
+  CHECK(Outcomes(stage, Result::kCancelled) == 1);
+  CHECK_FALSE(ArrivesWhole(stage, origin, value));
+}
+
 // The limit is on the delivery alone: a server that has the request may work on it for longer.
 TEST_CASE("delivery: an attempt delivered in time may be answered later") {
   AttemptFixture fixture;
