Count the age of a transferred record from the request of its transfer

What callers see (failover only): a keyed operation read from a replica that has restarted seems younger than it is, and may be repeated after its window. Cause: an age is as of the moment when it was stated, but RecordReplica::MergeCopy counted it from the time when the whole transfer had come; what messages, lost parts and a standstill took was missing. Found while the bound of a permit was looked into. Change: the age counts from the request, which is before any answer to it: never too low, too high by a round trip at the most. RequestSync takes the time. Before: the case added failed: 100 ms told where 600 ms had passed.

--- a/src/compat/registry_replica.cpp
+++ b/src/compat/registry_replica.cpp
@@ -94,7 +94,7 @@
     sync_at_ = now + std::min(options_.max_sync_interval,
                               options_.min_sync_interval * (1 << std::min(sync_requests_++ / 2, 5)));
   failover::Message request;
-  if (!bootstrapping()) request = replica_.RequestSync();
+  if (!bootstrapping()) request = replica_.RequestSync(now);
   for (std::size_t replica = 0; replica < kReplicas; ++replica) {
     if (replica == own_replica_) continue;
     if (bootstrapping()) {
--- a/src/failover/ownership_manager.cpp
+++ b/src/failover/ownership_manager.cpp
@@ -347,7 +347,7 @@
   if (generation_ == 0) return;
   syncing_ = false;
   if (!replica_.recovering(now)) return;
-  Message ask = replica_.RequestSync();
+  Message ask = replica_.RequestSync(now);
   for (const ReplicaName& replica : replica_set_.all()) {
     if (replica.router == self_ || replica_.HasSynced(replica.router)) continue;
     outgoing_.push_back({replica.router, ask});
--- a/src/failover/record_replica.cpp
+++ b/src/failover/record_replica.cpp
@@ -151,11 +151,12 @@
   return all;
 }
 
-Message RecordReplica::RequestSync() {
+Message RecordReplica::RequestSync(TimePoint now) {
   Message ask;
   ask.kind = Kind::kSyncRequest;
   ask.ballot.proposer = {self_, generation_, ++last_sync_request_};
   incoming_syncs_.clear();
+  sync_requested_at_ = now;
   return ask;
 }
 
@@ -190,7 +191,7 @@
   record.last_change = now;
   record.copied = true;
   if (!copy.state.attempts.empty()) {
-    TimePoint first = now - copy.age;
+    TimePoint first = sync_requested_at_ - copy.age;
     record.first_attempt = record.state.attempts.empty() ? first : std::min(record.first_attempt, first);
   }
   bool differ = record.version > 0 && copy.version > 0 && record.accepted != copy.accepted;
@@ -211,6 +212,7 @@
   failover::AppendState(into, static_cast<std::uint64_t>(started_.count()));
   failover::AppendState(into, generation_);
   failover::AppendState(into, last_sync_request_);
+  failover::AppendState(into, static_cast<std::uint64_t>(sync_requested_at_.count()));
   for (const auto& [name, generation] : known_generations_)
     failover::AppendState(into, name), failover::AppendState(into, generation);
   for (const auto& [name, thirds] : completed_syncs_) {
--- a/src/failover/record_replica.h
+++ b/src/failover/record_replica.h
@@ -45,7 +45,7 @@
   std::uint64_t generation() const { return generation_; }
   // Returns the request for a state transfer, for the replicas whose transfer is not complete for all
   // operations. Discards what was received for earlier requests.
-  Message RequestSync();
+  Message RequestSync(TimePoint now);
   bool HasSynced(const std::string& sender) const { return HasSynced(sender, "*"); }
   // Returns the shared records for a restarted replica. From now on, votes of earlier generations of the
   // requester no longer count together with those of this replica.
@@ -79,12 +79,14 @@
   };
   bool HasSynced(const std::string& sender, const std::string& third) const;
   Generations GenerationsOf(const std::string& operation) const;
+  // The stated age is as of some time after the request: counted from the request, it is never too low.
   void MergeCopy(TimePoint now, const Message& copy);
 
   RecordLimits limits_;
   TimePoint started_;
   std::string self_;
   std::uint64_t generation_ = 0, last_sync_request_ = 0;
+  TimePoint sync_requested_at_{};  // of the last request
   ReplicasFor replicas_for_;
   std::map<std::string, std::uint64_t> known_generations_;  // highest, by requester of a state transfer
   // By sender of a completed transfer: the third replicas it covers, see Message::complete_for.
--- a/tests/compat/registry_update_test.cpp
+++ b/tests/compat/registry_update_test.cpp
@@ -71,7 +71,7 @@
   CHECK(fleet.Submit(one, {true, true, false}) == RegistryUpdate::Progress::kCommitted);
   fleet.replicas[0] = Fleet::MakeReplica(0, 2, false);
   CHECK(fleet.Submit(other, {true, false, true}) == RegistryUpdate::Progress::kPending);
-  failover::Message request = fleet.replicas[0].RequestSync();
+  failover::Message request = fleet.replicas[0].RequestSync({});
   for (std::size_t s : {1, 2})
     for (const auto& part : fleet.replicas[s].AnswerSync({}, request))
       fleet.replicas[0].HandleSync({}, "s" + std::to_string(s), part);
--- a/tests/failover/ownership_test.cpp
+++ b/tests/failover/ownership_test.cpp
@@ -50,6 +50,30 @@
   CHECK(outcome.late_answers == 0);
 }
 
+// Guards against a keyed repeat after its window: the time that a state transfer took was missing from the
+// age of the records in it, so that a replica that had restarted took them for younger than they were.
+TEST_CASE("state transfer: the age of a record includes the time that the transfer took") {
+  auto names = [](const std::string&) { return std::array<std::string, kReplicas>{"a", "b", "c"}; };
+  RecordReplica restarted({}, 0s, "a", 2, names), writer({}, -1h, "b", 1, names),
+      other({}, -1h, "c", 1, names);
+  Message accept;
+  accept.kind = Kind::kAccept;
+  accept.operation = "w";
+  accept.ballot.proposer = {"b", 1, 1};
+  accept.version = 1;
+  accept.state.attempts = {{accept.ballot.proposer, 1, "m", true}};
+  REQUIRE(writer.Handle(0s, accept).kind == Kind::kAccepted);
+  Message request = restarted.RequestSync(100ms);
+  for (const Message& part : writer.AnswerSync(100ms, request)) restarted.HandleSync(600ms, "b", part);
+  for (const Message& part : other.AnswerSync(100ms, request)) restarted.HandleSync(600ms, "c", part);
+  Message read;
+  read.kind = Kind::kRead;
+  read.operation = "w";
+  Message reply = restarted.Handle(600ms, read);
+  CHECK(reply.kind == Kind::kReadResult);
+  CHECK(reply.age >= 600ms);
+}
+
 TEST_CASE("ownership: without faults every operation is served exactly once") {
   FailoverSimulation simulation({.routers = 5});
   auto outcome = RunSimulation(simulation, 200, 5s, false, false, false);
--- a/tests/orders/compat_model.cpp
+++ b/tests/orders/compat_model.cpp
@@ -274,7 +274,7 @@
 void CompatModel::RequestSync(std::size_t s) {
   --syncs_left_;
   Replica replica = *replicas_[s];
-  Message request = replica.acceptor.RequestSync();
+  Message request = replica.acceptor.RequestSync({});
   replicas_[s] = WithFingerprint(std::move(replica));
   for (std::size_t other = 0; other < failover::kReplicas; ++other)
     if (other != s) syncs_.push_back(MakeSync(s, other, {request}));
--- a/tests/orders/failover_model.cpp
+++ b/tests/orders/failover_model.cpp
@@ -152,7 +152,7 @@
 void FailoverModel::RequestSyncs(std::size_t s) {
   --budget_.syncs;
   Replica replica = *replicas_[s];
-  Message ask = replica.acceptor.RequestSync();
+  Message ask = replica.acceptor.RequestSync(now_);
   replicas_[s] = WithFingerprint(std::move(replica));
   for (std::size_t other = 0; other < failover::kReplicas; ++other)
     if (other != s) SendSync(s, other, {ask});
