Hold a keyed repeat at another router to the window of the first attempt

What callers see (failover only): a router takes a keyed operation over inside its window; its connection comes up late or the server takes the value slowly, and the repeat arrives after the window. Cause: the window of an attempt at another router is known to the record alone. OwnershipManager decided with it whether a repeat may be sent and handed on a bare yes; the second router's balancer knows of no attempt before its own, so that neither the first nor the last byte was held to the window. Change: a permit states by when the attempt must be delivered: within the window of the first attempt in the record, and for the first one within that of its own recording, since another router may send within that. The driver takes the earlier one of that and the balancer's own.

--- a/src/failover/operation_ownership.cpp
+++ b/src/failover/operation_ownership.cpp
@@ -37,6 +37,13 @@
   });
 }
 
+TimePoint OperationOwnership::LatestDelivery(TimePoint now, const ClassSettings& cls) const {
+  if (cls.effect != Effect::kKeyed) return TimePoint::max();
+  if (MayHaveRunElsewhere()) return now - record_.age(now) + cls.dedup_window;
+  bool recorded = record_.phase() == RecordProposer::Phase::kOwner;
+  return recorded ? now - record_.elapsed(now) + cls.dedup_window : TimePoint::max();
+}
+
 void OperationOwnership::RequestAttempt(TimePoint now, const std::string& server,
                                         std::vector<RecordProposer::Outgoing>& out) {
   proposed_server_.clear();
--- a/src/failover/operation_ownership.h
+++ b/src/failover/operation_ownership.h
@@ -68,6 +68,10 @@
   bool MayHaveRun() const;
   bool preempted() const { return record_.preempted(); }
   bool MayHaveRunElsewhere() const;  // an attempt by another proposer
+  // The latest time at which the attempt permitted now may reach its server whole; max(): no limit. For keyed
+  // operations it is within the deduplication window of any attempt that may have run elsewhere, and of this
+  // one's own record, since another router that reads it may send within the window of that.
+  TimePoint LatestDelivery(TimePoint now, const ClassSettings& cls) const;
   // The proposed outcome and value, and whether the committed outcome is this one.
   OperationOutcome outcome() const { return outcome_; }
   const std::string& value() const { return value_; }
--- a/src/failover/ownership_manager.cpp
+++ b/src/failover/ownership_manager.cpp
@@ -107,7 +107,7 @@
   switch (result) {
     case OwnershipResult::kSend:
       pending.phase = Phase::kSent;
-      results_.emplace_back().number = pending.number;
+      PermitSend(now, pending);
       return SetTimer(pending, pending.deadline + kCleanupDelay);
     case OwnershipResult::kAnswer:
       return CloseCommitted(now, pending, pending.ownership.state());
@@ -153,7 +153,7 @@
     } else if (before == Phase::kWatching || before == Phase::kTakingOver) {
       Close(now, pending, OperationOutcome::kFailed, {});
     } else if (before == Phase::kProposed) {
-      results_.emplace_back().number = pending.number;
+      PermitSend(now, pending);
     }
   }
 }
@@ -163,7 +163,7 @@
   if (pending == nullptr) return;
   pending->server = server;
   if (pending->phase == Phase::kUntracked) {
-    results_.emplace_back().number = number;
+    PermitSend(now, *pending);
   } else if (pending->phase == Phase::kNew || pending->phase == Phase::kSent ||
              pending->phase == Phase::kProposed) {
     ProposeAttempt(now, *pending);
@@ -298,7 +298,7 @@
   ++metrics_.untracked;
   pending.phase = Phase::kUntracked;
   SetTimer(pending, pending.deadline + kCleanupDelay);
-  results_.emplace_back().number = pending.number;
+  PermitSend(now, pending);
 }
 
 void OwnershipManager::CloseCommitted(TimePoint now, PendingOperation& pending, const RecordState& state) {
--- a/src/failover/ownership_manager.h
+++ b/src/failover/ownership_manager.h
@@ -54,6 +54,7 @@
     bool no_quorum = false;  // no majority of the replicas could be reached
     // True: the outcome holds for all clients; false: this router gave up (deadline or no quorum).
     bool committed = false;
+    TimePoint deliver_by = TimePoint::max();  // kSend: the server must have received the last byte by then
   };
   struct Metrics {
     std::uint64_t tracked = 0, untracked = 0, taken_over = 0, joined = 0, answered_by_other = 0,
@@ -120,6 +121,11 @@
   bool Expired(TimePoint now, const PendingOperation& pending) const {
     return now >= pending.deadline - options_.reply_margin;
   }
+  void PermitSend(TimePoint now, const PendingOperation& pending) {
+    Result& result = results_.emplace_back();
+    result.number = pending.number;
+    result.deliver_by = pending.ownership.LatestDelivery(now, pending.cls);
+  }
   void SetTimer(PendingOperation& pending, TimePoint due);
   // Sets the timer to `in`, or earlier if the deadline is closer.
   void ScheduleRetry(TimePoint now, PendingOperation& pending, Duration in);
--- a/src/router/work_in_hand.cpp
+++ b/src/router/work_in_hand.cpp
@@ -151,7 +151,8 @@
   for (failover::OwnershipManager::Result& result : manager_.DrainResults()) {
     RequestId id{result.number};
     if (result.what == failover::OwnershipManager::Result::What::kSend) {
-      decision_.PermitSend(id);
+      bool bounded = result.deliver_by != failover::TimePoint::max();
+      decision_.PermitSend(id, bounded ? result.deliver_by - peers::Peers::Now() : Duration::max());
       continue;
     }
     if (result.no_quorum)
--- a/src/stage/balancer_driver.cpp
+++ b/src/stage/balancer_driver.cpp
@@ -102,7 +102,10 @@
   for (auto& [id, transaction] : transactions_) transaction->tracked = false;
 }
 
-void BalancerDriver::PermitSend(RequestId id) { Enqueue(SendPermitted{id}); }
+void BalancerDriver::PermitSend(RequestId id, Duration deliver_within) {
+  bool bounded = deliver_within != Duration::max();
+  Enqueue(SendPermitted{id, bounded ? clock_.Now() + deliver_within : TimePoint::max()});
+}
 
 void BalancerDriver::CompleteRequest(RequestId id, OperationOutcome outcome, std::string value,
                                      Duration retry_after) {
@@ -238,7 +241,9 @@
   bool wanted = transaction != nullptr && transaction->held_attempt >= 0;
   if (wanted && !transaction->closed() && transaction->deadline() > clock_.Now()) {
     int attempt = std::exchange(transaction->held_attempt, -1);
-    return StartAttempt(*transaction, attempt, transaction->held_limits);
+    AttemptLimits limits = transaction->held_limits;
+    limits.deliver_by = std::min(limits.deliver_by, permitted.deliver_by);
+    return StartAttempt(*transaction, attempt, limits);
   }
   if (operation_tracker_ != nullptr) operation_tracker_->OnAttemptEnded(permitted.id, false);
   if (wanted) DropHeldAttempt(*transaction);
--- a/src/stage/balancer_driver.h
+++ b/src/stage/balancer_driver.h
@@ -61,8 +61,9 @@
   bool IsOrigin(std::string_view member) const { return origins_.contains(member); }
   // Whether Request::client must be set.
   bool needs_client_hash() const { return quota_check_ != nullptr; }
-  // The replies of the operation tracker: send the held attempt, or end the request with this outcome.
-  void PermitSend(RequestId id);
+  // The replies of the operation tracker: send the held attempt, which its server must have received whole at
+  // most `deliver_within` after now, or end the request with this outcome.
+  void PermitSend(RequestId id, Duration deliver_within = Duration::max());
   void CompleteRequest(RequestId id, OperationOutcome outcome, std::string value, Duration retry_after);
   // The client has accepted the pending part of a streamed value.
   void ResumeStream(RequestId id);
@@ -102,6 +103,7 @@
   };
   struct SendPermitted {
     RequestId id;
+    TimePoint deliver_by;
   };
   struct RequestCompleted {
     RequestId id;
--- a/tests/failover/failover_simulation.h
+++ b/tests/failover/failover_simulation.h
@@ -98,8 +98,8 @@
 
   struct Outcome {
     std::size_t submitted = 0, completed = 0, lost_router = 0, lost_router_completed = 0, unsafe_twice = 0,
-                keyed_late = 0, conflicting_outcomes = 0, unanswered = 0, late_answers = 0, values = 0,
-                failed = 0, rejected = 0;
+                keyed_late = 0, keyed_unbounded = 0, conflicting_outcomes = 0, unanswered = 0,
+                late_answers = 0, values = 0, failed = 0, rejected = 0;
   };
   Outcome Summarize() const {
     Outcome sum = totals_;
@@ -259,6 +259,8 @@
     if (result.what == OwnershipManager::Result::What::kSend) {
       // Some attempts fail to connect and never run; the others run and are answered after the service time.
       std::uint64_t generation = router.generation;
+      bool repeat = operation.cls.effect == Effect::kKeyed && operation.first_ran >= TimePoint{};
+      if (repeat && result.deliver_by > operation.first_ran + kWindow) ++totals_.keyed_unbounded;
       if (random_.Unit() < 0.02) {
         agenda_.In(5ms, [this, r, generation, number = result.number, w] {
           RunOn(r, generation, [this, r, number, w] {
--- a/tests/failover/ownership_test.cpp
+++ b/tests/failover/ownership_test.cpp
@@ -45,6 +45,9 @@
 void CheckRules(const FailoverSimulation::Outcome& outcome) {
   CHECK(outcome.unsafe_twice == 0);
   CHECK(outcome.keyed_late == 0);
+  // Guards against a repeat at another router that arrives after the window: it may be delivered long after
+  // it was permitted.
+  CHECK(outcome.keyed_unbounded == 0);
   CHECK(outcome.conflicting_outcomes == 0);
   CHECK(outcome.unanswered == 0);
   CHECK(outcome.late_answers == 0);
--- a/tests/net/held_attempt_test.cpp
+++ b/tests/net/held_attempt_test.cpp
@@ -77,5 +77,17 @@
   CHECK(held.stage.origin.ends.empty());
 }
 
+// Guards against a repeat that arrives after the window of another router's attempt: only the record tells of
+// that one, and the permit did not say by when the server must have received the repeat.
+TEST_CASE("held attempt: one that could not be delivered before its permit ends does not begin") {
+  HeldAttempt held;
+  RequestId id = held.Admit();
+  held.stage.Until([&] { return held.permit_requests == 1; });
+  held.driver.PermitSend(id, -std::chrono::milliseconds(1));
+  held.stage.Until([&] { return held.counters.outcomes[static_cast<std::size_t>(Result::kNeverSent)] == 1; });
+  CHECK(held.counters.attempts == 0);
+  CHECK(held.stage.origin.ends.empty());
+}
+
 }  // namespace
 }  // namespace peatbend::net::test
