--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -227,7 +227,7 @@
   // dropped, and its outcome is kNeverSent.
   Duration begin_within = Duration::max();
   // The server must have received the last byte at most this long after now. An attempt that it has not
-  // received whole by then is aborted, so that the rest never arrives, and its outcome is kCancelled. max():
+  // received whole by then is aborted, so that no more of it is sent, and its outcome is kCancelled. max():
   // no such limit.
   Duration deliver_within = Duration::max();
 };
--- a/src/member/attempt.h
+++ b/src/member/attempt.h
@@ -28,7 +28,7 @@
   virtual void Broken(bool written) = 0;
   // It must not begin any more, and nothing of it was written.
   virtual void TooLate() = 0;
-  // The server had not received its last byte in time, and what it has not received will not arrive.
+  // The server had not acknowledged its last byte in time. No more of it is sent.
   virtual void Undelivered() = 0;
 };
 
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -49,8 +49,8 @@
   void Resume();
   // Whether the request's last byte was handed to the socket. Queued here is not written.
   bool written() const;
-  // Whether the server has received the last byte: its system has acknowledged it. What was handed to the
-  // socket may still wait there.
+  // Whether the server's system has acknowledged the last byte. What was handed to the socket may still wait
+  // there, or be on its way.
   bool delivered() const;
   // Whether its first byte was.
   bool begun() const { return begun_; }
