Count what a cut value takes with it, and log how a stop ended

Need: neither the log nor the counters told why requests behind a cut value, or values under way at a stop, get no answer. values_cut counted the value alone; requests_abandoned counts a client that left and an answer that the router gave up alike; the exit said nothing of what ended it. Change: counter requests_behind_cut and log line "value cut"; log line "stopped" with its reason and what was left.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -32,6 +32,7 @@
   add("rejected", counters.Sum(&Counters::PerClass::rejected));
   add("failed", counters.Sum(&Counters::PerClass::failed));
   add("values_cut", counters.values_cut);
+  add("requests_behind_cut", counters.requests_behind_cut);
   add("attempts", counters.attempts);
   add("attempts_to_origin", counters.attempts_to_origin);
   add("dispatches", counters.dispatches);
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -17,7 +17,7 @@
   std::uint64_t clients_accepted = 0, clients_closed = 0, clients_closed_for_room = 0;
   std::uint64_t clients_closed_as_idle = 0, ids_in_use = 0;
   std::uint64_t client_malformed = 0, pings = 0, unknown_commands = 0;
-  std::uint64_t requests = 0, requests_abandoned = 0, values_cut = 0;
+  std::uint64_t requests = 0, requests_abandoned = 0, values_cut = 0, requests_behind_cut = 0;
   // Final answers, one per request, by request class.
   struct PerClass {
     std::uint64_t served = 0, rejected = 0, failed = 0;
--- a/src/front/answer_queue.cpp
+++ b/src/front/answer_queue.cpp
@@ -1,5 +1,6 @@
 #include "front/answer_queue.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "front/client_command.h"
@@ -101,4 +102,10 @@
   return ids;
 }
 
+std::size_t AnswerQueue::RequestsBehindFirst() const {
+  if (entries_.empty()) return 0;
+  auto behind = std::ranges::count_if(entries_.begin() + 1, entries_.end(), &Entry::is_request);
+  return static_cast<std::size_t>(behind);
+}
+
 }  // namespace peatbend::net
--- a/src/front/answer_queue.h
+++ b/src/front/answer_queue.h
@@ -51,6 +51,8 @@
   std::size_t bytes() const;
   // Requests that have no whole answer yet.
   std::vector<RequestId> Unanswered() const;
+  // Requests whose answers come after the first one.
+  std::size_t RequestsBehindFirst() const;
 
  private:
   struct Entry {
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -125,6 +125,7 @@
   // How long the connection stays open after its end was sent.
   Duration Linger() const;
   bool Crowded() const;
+  void CountCut();
   void Leave();
   std::uint64_t Client() {
     if (!client_) client_ = HashPeerAddress(bufferevent_getfd(socket_.get()));
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -1,5 +1,6 @@
 // The answers of a client session: taken in the order of the commands, written, and booked until the client
 // has taken them.
+#include <fmt/format.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -44,6 +45,15 @@
   return false;
 }
 
+// Tells a value that broke off from what goes down with it.
+void ClientSession::CountCut() {
+  std::size_t behind = owed_.RequestsBehindFirst();
+  ++counters_.values_cut;
+  counters_.requests_behind_cut += behind;
+  log_.Line("value cut", fmt::format("{} requests behind it are not answered, {} bytes before it not written",
+                                     behind, evbuffer_get_length(bufferevent_get_output(socket_.get()))));
+}
+
 // A value that is not whole ends the connection; where none of it was written yet, an error can still be
 // told.
 void ClientSession::EndValue(std::uint64_t place, bool whole) {
@@ -53,7 +63,7 @@
   }
   owed_.CutValue(place);
   if (owed_.IsFirst(place)) {
-    ++counters_.values_cut;
+    CountCut();
     return Leave();
   }
   Fail(place);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -23,16 +23,13 @@
 // After LEAVE: the front may not have asked PING yet, and still sends clients.
 constexpr std::chrono::milliseconds kLateClients{400};
 // How often the successor is told what is free for it.
-constexpr std::chrono::milliseconds kTellKeepsEvery{50}, kEndAgain{5};
+constexpr std::chrono::milliseconds kTellKeepsEvery{50};
 // While handing over: sockets kept beyond those held and those of waiting requests, for what comes yet on
 // clients' connections that stay, such as the rest of a large value.
 constexpr std::int64_t kForFlows = 4;
 // Of the sockets that are free when the successor is ready, at most this part is kept for requests that wait
 // for a server: the successor serves with the rest.
 constexpr std::int64_t kWaitingDivisor = 2;
-// After SIGTERM the platform waits for the longest deadline, and for this at most, before it kills. The last
-// answers are given so long before the program ends.
-constexpr std::chrono::milliseconds kLongestWait{3000}, kForLastAnswers{50};
 // Of the memory: for large values, over all transactions.
 constexpr double kValuesShare = 0.3;
 
@@ -102,10 +99,7 @@
                          [this] {
                            if (life_.LateClientsOver()) Moved();
                          }),
-      stop_at_last_(base,
-                    [this] {
-                      if (!std::exchange(ended_, true)) then_();
-                    }),
+      stop_at_last_(base, [this] { StopAtLast(); }),
       tell_keeps_(base, [this] { TellKeeps(); }),
       end_(base, [this] { End(); }),
       room_late_(base, [this] { RoomKnown(); }) {
@@ -167,30 +161,6 @@
   return (back ? "ok " : "fail ") + std::string(life_.name());
 }
 
-void Router::Stop(std::function<void()> then) {
-  if (life_.stopping()) return;
-  log_.Line("stopping", std::to_string(decision_.transactions()) + " transactions open");
-  then_ = std::move(then);
-  life_.Stop();
-  const Tuning::Stop& stop = running_.tuning.stop;
-  late_clients_over_.Set(stop.keep_listening);
-  stop_at_last_.Set(stop.keep_listening + LongestDeadline() + stop.slack);
-  // What is read late still has half of the time that its class may have.
-  Duration wait = std::min<Duration>(LongestDeadline(), kLongestWait);
-  TimePoint answer_by = clock_.Now() + stop.keep_listening + wait + stop.slack - kForLastAnswers;
-  listener_.EndSoon(answer_by - wait / 2, answer_by);
-  if (peers_) peers_->Leave();
-  Moved();
-}
-
-// Once no session is left; what was handed on leaves first, and what the process before still has comes
-// first.
-void Router::End() {
-  if (listener_.sessions() > 0) return;  // taken back from a successor: the listener calls again after them
-  if (!successor_.idle() || predecessor_keeps_ > 0) return end_.Set(kEndAgain);
-  if (!std::exchange(ended_, true)) then_();
-}
-
 void Router::MeetPeers() {
   if (running_.peers.listen.empty()) return;
   const Settings& settings = running_.settings;
@@ -388,10 +358,4 @@
   publications_ ? publications_->Propose(config) : rations_->SetBook(config.rations.table);
 }
 
-Duration Router::LongestDeadline() const {
-  Duration longest{};
-  for (const ClassSettings& cls : running_.settings.classes) longest = std::max(longest, cls.deadline);
-  return longest;
-}
-
 }  // namespace peatbend::net
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -81,6 +81,9 @@
   // The process before has told what it keeps, or has not told it in time.
   void RoomKnown();
   void End();
+  // All requests have had their time.
+  void StopAtLast();
+  void EndProgram(std::string_view why);
   void TakeBook(const Config& config);
   // Makes this one of its fleet, where that is configured.
   void MeetPeers();
@@ -110,6 +113,7 @@
   std::optional<RationOffice> rations_;
   std::optional<OverloadOffice> overload_;
   std::function<void()> then_;
+  TimePoint stopped_at_{};  // when the stop was asked for
   bool ended_ = false;
   std::string door_;
   Timer late_clients_over_, stop_at_last_, tell_keeps_, end_, room_late_;
