Write what was answered before a value that breaks off, then end the connection

What callers saw: the connection of a slow client was closed at once where a large value broke off, and an earlier answer that was whole at the router, but not all written, was lost with it. Cause: ClientSession::EndValue destroyed the session, with its unwritten output. Change: what stands behind the cut value is given up, nothing more is read, what came before it is written, then the connection is shut and closed as after a last call. What was not read stays unread. Why it works: the value can still be told as cut, its end never comes, and no other answer depends on when it broke off.

--- a/src/front/answer_queue.cpp
+++ b/src/front/answer_queue.cpp
@@ -68,6 +68,11 @@
   return entries_.front().id;
 }
 
+void AnswerQueue::Clear() {
+  first_ += entries_.size();
+  entries_.clear();
+}
+
 BufferPtr AnswerQueue::TakeReady() {
   BufferPtr out;
   while (!entries_.empty() && entries_.front().answer) {
--- a/src/front/answer_queue.h
+++ b/src/front/answer_queue.h
@@ -44,6 +44,8 @@
   // Ends that pause; the request whose value goes on.
   RequestId ResumeFirst();
 
+  // Drops all answers.
+  void Clear();
   // All that can be written now as one piece: the answers up to the first that is not whole, and what is
   // there of that one. Null where there is nothing.
   BufferPtr TakeReady();
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -126,6 +126,7 @@
   Duration Linger() const;
   bool Crowded() const;
   void CountCut();
+  void EndAfterCut();
   void Leave();
   std::uint64_t Client() {
     if (!client_) client_ = HashPeerAddress(bufferevent_getfd(socket_.get()));
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -54,21 +54,31 @@
                                      behind, evbuffer_get_length(bufferevent_get_output(socket_.get()))));
 }
 
-// A value that is not whole ends the connection; where none of it was written yet, an error can still be
-// told.
+// A value that is not whole ends the connection; where none of it was handed out, an error can still be told.
 void ClientSession::EndValue(std::uint64_t place, bool whole) {
   if (whole) {
     owed_.EndValue(place);
     return Flush();
   }
   owed_.CutValue(place);
-  if (owed_.IsFirst(place)) {
-    CountCut();
-    return Leave();
-  }
+  if (owed_.IsFirst(place)) return EndAfterCut();
   Fail(place);
 }
 
+// The client is given what was answered before the value and what has come of it, then the end of the
+// connection. Commands that were not read stay unread: it may send them again.
+void ClientSession::EndAfterCut() {
+  CountCut();
+  for (RequestId id : owed_.Unanswered()) decision_.ClientLeft(id);
+  owed_.Clear();
+  last_call_ = true;
+  read_pause_.Pause();
+  begun_ = TimePoint::max();
+  TakeNoMore();
+  Account();
+  if (all_written()) Written();
+}
+
 // Bytes of answers that the client has not taken.
 std::size_t ClientSession::Unsent() const {
   return evbuffer_get_length(bufferevent_get_output(socket_.get())) + owed_.bytes();
