Hold a large value for the commands behind it, and send on none behind one under way

What callers saw: a client sent a read of a large value, a keyed write and a small read at once. Cause: a value that breaks off after its first byte was written can be told only by the connection's end, with all answers behind it. It was passed on whoever stood behind it, and further commands were sent on meanwhile. Evidence: "value cut: 2 requests behind it are not answered, 0 bytes before it not written" for each client; the client had not left, and nothing was lost in the kernel. Change: the module decides (DecideDelivery, DecideCommand) from what the stages report. With nothing behind it a value is passed on, and what comes behind it stays unread until it is whole. With commands behind it it is held in the memory for answers, for 0.6 of its client's time at most, and a cut is an attempt like any other. Behind another answer it is left at its server.

--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -273,6 +273,36 @@
 using Action =
     std::variant<Send, Reject, Fail, Cancel, SetTimer, Subscribe, CloseIdleConnections, Log, ReportTrial>;
 
+// ---- Answers of pipelined commands --------------------------------------------------------------
+
+// A client's answers come in the order of its commands. A value that breaks off after its first byte was
+// written can be told as broken only by the end of the connection, with which all answers behind it are lost.
+
+// A large value of which some has arrived and nothing was passed on.
+struct LargeValueFacts {
+  std::size_t commands_behind = 0;  // commands of its client that were read behind its own
+  bool next = true;                 // it would be written to the client at once
+  Duration waited{};                // that its client has waited for this answer alone
+  Duration limit{};                 // that its client waits for an answer in total
+};
+enum class ValueDelivery {
+  kPassOn,       // write it as it arrives
+  kHold,         // read it on as far as there is memory, and write it once it is whole
+  kLeaveUnread,  // read no more of it
+};
+struct ValueDecision {
+  ValueDelivery delivery = ValueDelivery::kPassOn;
+  Duration decide_again = Duration::max();  // after this time at the latest
+};
+ValueDecision DecideDelivery(const LargeValueFacts& facts);
+
+struct PipelineFacts {
+  bool value_unfinished = false;  // an answer that is owed is a large value that is not whole
+};
+enum class CommandDecision { kForward, kLeaveUnread };
+// What becomes of the next command of a client.
+CommandDecision DecideCommand(const PipelineFacts& facts);
+
 // ---- The balancer -------------------------------------------------------------------------------
 
 // Builds a Maglev table: slot -> index into sorted_ids. slots_per_round: how many slots each server claims in
--- a/src/front/answer_queue.cpp
+++ b/src/front/answer_queue.cpp
@@ -20,25 +20,24 @@
 }
 
 void AnswerQueue::Serve(std::uint64_t place, evbuffer* value) {
-  At(place).answer = NewBuffer();
+  Answer(place);
   AppendServed(At(place).answer.get(), value);
 }
 
 void AnswerQueue::Reject(std::uint64_t place, Duration come_back) {
-  At(place).answer = NewBuffer();
+  Answer(place);
   AppendRejected(At(place).answer.get(), come_back);
 }
 
 void AnswerQueue::Fail(std::uint64_t place) {
-  At(place).answer = NewBuffer();
+  Answer(place);
   Append(At(place).answer.get(), "-ERR failed\r\n");
 }
 
 void AnswerQueue::BeginValue(std::uint64_t place, std::size_t length) {
-  Entry& entry = At(place);
-  entry.answer = NewBuffer();
-  entry.value = Entry::Value::kComes;
-  evbuffer_add_printf(entry.answer.get(), "$%zu\r\n", length);
+  Answer(place);
+  SetValue(At(place), Entry::Value::kComes);
+  evbuffer_add_printf(At(place).answer.get(), "$%zu\r\n", length);
 }
 
 void AnswerQueue::AddPiece(std::uint64_t place, evbuffer* bytes) {
@@ -51,26 +50,46 @@
 }
 
 void AnswerQueue::EndValue(std::uint64_t place) {
-  At(place).value = Entry::Value::kWhole;
+  SetValue(At(place), Entry::Value::kWhole);
   Append(At(place).answer.get(), "\r\n");
 }
 
-void AnswerQueue::CutValue(std::uint64_t place) { At(place).value = Entry::Value::kWhole; }
+void AnswerQueue::CutValue(std::uint64_t place) { SetValue(At(place), Entry::Value::kWhole); }
+
+void AnswerQueue::PauseValue(std::uint64_t place) { SetValue(At(place), Entry::Value::kPaused); }
+
+void AnswerQueue::HoldValue(std::uint64_t place) { SetValue(At(place), Entry::Value::kHeld); }
 
-void AnswerQueue::PauseValue(std::uint64_t place) { At(place).value = Entry::Value::kPaused; }
+void AnswerQueue::SetValue(Entry& entry, Entry::Value value) {
+  bool before = std::exchange(entry.value, value) != Entry::Value::kWhole;
+  bool now = value != Entry::Value::kWhole;
+  unfinished_ = unfinished_ + (now ? 1 : 0) - (before ? 1 : 0);
+}
+
+// An empty answer, to be filled.
+void AnswerQueue::Answer(std::uint64_t place) {
+  SetValue(At(place), Entry::Value::kWhole);
+  At(place).answer = NewBuffer();
+}
 
 bool AnswerQueue::first_paused() const {
   return !entries_.empty() && entries_.front().value == Entry::Value::kPaused;
 }
 
 RequestId AnswerQueue::ResumeFirst() {
-  entries_.front().value = Entry::Value::kComes;
+  SetValue(entries_.front(), Entry::Value::kComes);
   return entries_.front().id;
 }
 
+std::optional<RequestId> AnswerQueue::first_held() const {
+  bool held = !entries_.empty() && entries_.front().value == Entry::Value::kHeld;
+  return held ? std::optional(entries_.front().id) : std::nullopt;
+}
+
 void AnswerQueue::Clear() {
   first_ += entries_.size();
   entries_.clear();
+  unfinished_ = 0;
 }
 
 BufferPtr AnswerQueue::TakeReady() {
--- a/src/front/answer_queue.h
+++ b/src/front/answer_queue.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -31,6 +32,8 @@
   void Reject(std::uint64_t place, Duration come_back);
   void Fail(std::uint64_t place);
 
+  // A large value has begun to arrive, and is not handed out until Serve, Reject, Fail or BeginValue.
+  void HoldValue(std::uint64_t place);
   // An answer whose value is passed on in pieces.
   void BeginValue(std::uint64_t place, std::size_t length);
   void AddPiece(std::uint64_t place, evbuffer* bytes);
@@ -43,6 +46,10 @@
   bool first_paused() const;
   // Ends that pause; the request whose value goes on.
   RequestId ResumeFirst();
+  // The request of the first answer, if it is a large value that is held.
+  std::optional<RequestId> first_held() const;
+  // Whether a large value that is not whole is among the answers.
+  bool value_unfinished() const { return unfinished_ > 0; }
 
   // Drops all answers.
   void Clear();
@@ -59,14 +66,17 @@
  private:
   struct Entry {
     BufferPtr answer;  // null: not there yet
-    enum class Value { kWhole, kComes, kPaused } value = Value::kWhole;
+    enum class Value { kWhole, kHeld, kComes, kPaused } value = Value::kWhole;
     RequestId id{};
     bool is_request = false;
   };
   Entry& At(std::uint64_t place) { return entries_[place - first_]; }
+  void SetValue(Entry& entry, Entry::Value value);
+  void Answer(std::uint64_t place);
 
   std::deque<Entry> entries_;
-  std::uint64_t first_ = 0;  // place of the first entry
+  std::uint64_t first_ = 0;     // place of the first entry
+  std::size_t unfinished_ = 0;  // entries whose value is not whole
 };
 
 }  // namespace peatbend::net
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -57,6 +57,8 @@
 }
 
 bool ClientSession::Crowded() const {
+  PipelineFacts facts{.value_unfinished = owed_.value_unfinished()};
+  if (DecideCommand(facts) == CommandDecision::kLeaveUnread) return true;
   // Nor does a client who reads nothing run ahead by more than there is memory for.
   std::size_t free = home_.memory().free();
   bool dear = owed_.size() >= kFreeAhead && owed_.size() * resp::kMaxValue > free;
@@ -68,6 +70,24 @@
              static_cast<std::size_t>(tuning_.unsent_kb) * 1024;
 }
 
+// What comes stays with the system, and a command that has begun to come is given its time anew later. A
+// large value is read to its end: its client may read no answer before it has sent all.
+void ClientSession::LeaveUnread() {
+  if (closing_ || body_) return;
+  leaves_unread_ = true;
+  read_pause_.Pause();
+  begun_ = TimePoint::max();
+  Account();
+}
+
+// Reads on from the loop, if nothing is in the way.
+void ClientSession::ReadOnSoon() {
+  leaves_unread_ = false;
+  if (closing_ || waits_for_room_ || Crowded()) return;
+  if (!last_call_) read_pause_.Resume();
+  bufferevent_trigger(socket_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
+}
+
 void ClientSession::Read() {
   evbuffer* in = bufferevent_get_input(socket_.get());
   if (closing_) {
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -50,6 +50,8 @@
   void Serve(std::uint64_t place, evbuffer* value) override;
   void Reject(std::uint64_t place, Duration come_back) override;
   void Fail(std::uint64_t place) override;
+  void HoldValue(std::uint64_t place) override;
+  std::size_t CommandsBehind(std::uint64_t place) const override;
   void BeginValue(std::uint64_t place, std::size_t length) override;
   bool AppendChunk(std::uint64_t place, evbuffer* bytes) override;
   void EndValue(std::uint64_t place, bool whole) override;
@@ -125,6 +127,8 @@
   // How long the connection stays open after its end was sent.
   Duration Linger() const;
   bool Crowded() const;
+  void LeaveUnread();
+  void ReadOnSoon();
   void CountCut();
   void EndAfterCut();
   void Leave();
@@ -147,6 +151,7 @@
   };
   std::optional<Body> body_;     // a large value is coming
   bool waits_for_room_ = false;  // for memory for one; not read meanwhile
+  bool leaves_unread_ = false;   // what comes behind a large value that is not whole
   AnswerQueue owed_;
   bool closing_ = false;  // no more is taken; ends when all is written
   bool asked_ = false;    // a whole command has come
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -29,7 +29,21 @@
   Flush();
 }
 
-void ClientSession::BeginValue(std::uint64_t place, std::size_t length) { owed_.BeginValue(place, length); }
+void ClientSession::HoldValue(std::uint64_t place) {
+  owed_.HoldValue(place);
+  LeaveUnread();
+}
+
+std::size_t ClientSession::CommandsBehind(std::uint64_t place) const {
+  std::size_t taken = owed_.next_place() - place - 1;
+  bool more = body_ || evbuffer_get_length(bufferevent_get_input(socket_.get())) > 0;
+  return taken + (more ? 1 : 0);
+}
+
+void ClientSession::BeginValue(std::uint64_t place, std::size_t length) {
+  owed_.BeginValue(place, length);
+  LeaveUnread();
+}
 
 bool ClientSession::IsNext(std::uint64_t place) const {
   return owed_.IsFirst(place) && evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
@@ -92,22 +106,24 @@
 
 // Writes the answers that are there, up to the first that is not whole, as one piece.
 void ClientSession::Flush() {
-  BufferPtr out = owed_.TakeReady();
-  if (!out) return BookUnsent();
-  quiet_since_ = clock_.Now();
-  // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
-  bool told =
-      closing_ || owed_.first_paused() || home_.doors().rest() != Doors::Rest::kStays || read_pause_.paused();
-  if (told) {
-    Queue(socket_.get(), out.get());
-  } else {
-    WriteNow(socket_.get(), out.get());
+  if (BufferPtr out = owed_.TakeReady()) {
+    quiet_since_ = clock_.Now();
+    // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
+    bool told = closing_ || owed_.first_paused() || owed_.first_held() ||
+                home_.doors().rest() != Doors::Rest::kStays || (read_pause_.paused() && !leaves_unread_);
+    if (told) {
+      Queue(socket_.get(), out.get());
+    } else {
+      WriteNow(socket_.get(), out.get());
+    }
   }
   BookUnsent();
+  if (leaves_unread_ && !owed_.value_unfinished()) ReadOnSoon();
 }
 
 void ClientSession::Written() {  // all that was to be written is
   BookUnsent();
+  if (auto held = owed_.first_held()) decision_.ReviewValue(*held);
   if (owed_.first_paused()) return decision_.ResumeStream(owed_.ResumeFirst());
   if (closing_ && owed_.empty()) {
     // Not closed yet, lest a reset overtake the answer. What comes after a last call stays unread: its client
@@ -116,11 +132,11 @@
     turned_away_ = clock_.Now();
     return;
   }
-  if (home_.doors().rest() != Doors::Rest::kStays && at_rest()) return home_.AtRest(*this);
   if (!closing_ && !waits_for_room_ && read_pause_.paused() && !Crowded()) {
     if (!last_call_) read_pause_.Resume();
     Read();
   }
+  if (home_.doors().rest() != Doors::Rest::kStays && at_rest()) home_.AtRest(*this);
 }
 
 // What the client takes is free for other answers at once, not only when it has taken all.
--- a/src/member/attempt.h
+++ b/src/member/attempt.h
@@ -18,8 +18,10 @@
  public:
   virtual ~Attempt() = default;
   virtual const std::string& member() const = 0;
-  // Its value is passed on as it comes. False: nobody wants it, and the connection is gone.
-  virtual bool Began(std::size_t length) = 0;
+  // Some of a large value of `length` bytes is there, and nothing of it was passed on. kGone: nobody wants
+  // it, and the connection is gone. Else it is asked again when more has come, or by ReviewValue.
+  enum class ValueStep { kPassOn, kHold, kLeaveUnread, kGone };
+  virtual ValueStep LargeValue(std::size_t length) = 0;
   // The bytes are taken. False: no more till Resume, or the connection is gone, as `gone` tells.
   virtual bool Piece(evbuffer* bytes, bool& gone) = 0;
   // Whether its answer would be written at once: the client has taken all that it was to be given before.
--- a/src/member/member_codec.cpp
+++ b/src/member/member_codec.cpp
@@ -95,13 +95,18 @@
   std::size_t Held(evbuffer* in) const override {
     return evbuffer_get_length(in) + evbuffer_get_length(value_.get());
   }
-  std::size_t MostHeld() const override { return resp::kMaxMessage; }
+  std::size_t MostHeld() const override { return length_ + resp::kMaxMessage; }
 
  private:
   // Whether the body has come whole.
   bool TakeBody(evbuffer* in) {
     std::size_t take = std::min(left_, evbuffer_get_length(in));
-    evbuffer_remove_buffer(in, value_.get(), take);
+    bool collects = evbuffer_get_length(value_.get()) > 0;  // what came before was not passed on
+    if (collects) {
+      MoveCompact(in, value_.get(), take);
+    } else {
+      evbuffer_remove_buffer(in, value_.get(), take);
+    }
     left_ -= take;
     if (left_ == 0) parser_.BodyConsumed();
     return left_ == 0;
--- a/src/member/member_connection.cpp
+++ b/src/member/member_connection.cpp
@@ -127,8 +127,7 @@
 // it, it is left to the server until there is.
 void MemberConnection::ReserveHeld() {
   if (passing_value_ || answer_memory_.Grow(held(), codec_->MostHeld())) return;
-  paused_ = true;
-  bufferevent_disable(socket_.get(), EV_READ);
+  Pause();
   attempt_->AnswerWaits(true);
 }
 
@@ -148,11 +147,10 @@
 // Passes on what has come of a large value, `last` being the rest of it; false if the connection is gone, or
 // is to wait.
 bool MemberConnection::PassOn(evbuffer* last) {
-  if (!codec_->Streams() && !passing_value_) return true;
   if (!passing_value_) {
-    passing_value_ = true;
-    bufferevent_setwatermark(socket_.get(), EV_READ, 0, kMostUnread);
-    if (!attempt_->Began(*codec_->Streams())) return false;
+    if (!codec_->Streams()) return true;
+    if (!BeginPassing()) return false;
+    if (!passing_value_) return true;
   }
   BufferPtr piece = NewBuffer();
   if (last != nullptr) {
@@ -163,9 +161,40 @@
   bool gone = false;
   if (evbuffer_get_length(piece.get()) == 0 || attempt_->Piece(piece.get(), gone)) return true;
   if (gone) return false;
+  Pause();
+  return true;
+}
+
+// Begins to pass a large value on, or has it held until it is whole; false if the connection is gone, or is
+// to wait.
+bool MemberConnection::BeginPassing() {
+  using enum Attempt::ValueStep;
+  switch (attempt_->LargeValue(*codec_->Streams())) {
+    case kGone:
+      return false;
+    case kLeaveUnread:
+      return Pause(), false;
+    case kHold:
+      return true;
+    case kPassOn:
+      break;
+  }
+  passing_value_ = true;
+  answer_memory_.Reset();  // its client's session books what it is given
+  bufferevent_setwatermark(socket_.get(), EV_READ, 0, kMostUnread);
+  if (std::exchange(paused_, false)) bufferevent_enable(socket_.get(), EV_READ);
+  return true;
+}
+
+void MemberConnection::ReviewValue() {
+  if (attempt_ == nullptr || passing_value_) return;
+  bool keeps_its_turn = answer_memory_.waits();
+  keeps_its_turn || !paused_ ? static_cast<void>(PassOn(nullptr)) : Resume();
+}
+
+void MemberConnection::Pause() {
   paused_ = true;
   bufferevent_disable(socket_.get(), EV_READ);
-  return true;
 }
 
 void MemberConnection::Resume() {
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -48,6 +48,8 @@
   SocketInput unread() const;
   // After a piece that was the last for a while.
   void Resume();
+  // Asks the attempt anew how its large value is delivered, unless it is passed on already.
+  void ReviewValue();
   // Whether the request's last byte was handed to the socket. Queued here is not written.
   bool written() const;
   // Whether the server's system has acknowledged the last byte. What was handed to the socket may still wait
@@ -71,6 +73,8 @@
   void Written();
   void Write();
   bool PassOn(evbuffer* last);
+  bool BeginPassing();
+  void Pause();
   void ReserveHeld();
   void ReadOn();
   void Happened(short what);
--- /dev/null
+++ b/src/module/pipelining.cpp
@@ -0,0 +1,23 @@
+// Pipelined commands and large values: which commands are sent on, and when a value's bytes are written, so
+// that what was sent on can be answered whatever becomes of the value.
+#include "module/balancer_impl.h"
+
+namespace peatbend {
+
+// Share of its time for which a client waits for the first byte of a value that is held until it is whole.
+constexpr double kMaxHoldShare = 0.6;
+
+ValueDecision DecideDelivery(const LargeValueFacts& facts) {
+  if (facts.commands_behind == 0) return {ValueDelivery::kPassOn};
+  if (!facts.next) return {ValueDelivery::kLeaveUnread};
+  Duration most = Scale(facts.limit, kMaxHoldShare);
+  if (facts.waited >= most) return {ValueDelivery::kPassOn};
+  return {ValueDelivery::kHold, most - facts.waited};
+}
+
+// Behind a value that may yet break off, a command might never be answered.
+CommandDecision DecideCommand(const PipelineFacts& facts) {
+  return facts.value_unfinished ? CommandDecision::kLeaveUnread : CommandDecision::kForward;
+}
+
+}  // namespace peatbend
--- a/src/stage/balancer_driver.cpp
+++ b/src/stage/balancer_driver.cpp
@@ -77,11 +77,18 @@
   Enqueue(std::move(update));
 }
 
-bool BalancerDriver::OnStreamStarted(ServerAttempt& attempt, std::size_t length) {
+std::optional<ValueDecision> BalancerDriver::OnLargeValue(ServerAttempt& attempt, std::size_t length) {
   Transaction* transaction = Find(attempt.id());
-  if (transaction == nullptr || !transaction->BeginStream(attempt.number(), length)) return false;
+  if (transaction == nullptr || transaction->finished() || transaction->active_stream() >= 0)
+    return std::nullopt;
+  ValueDecision decision = DecideDelivery(transaction->FactsOfValue(clock_.Now()));
+  if (decision.delivery != ValueDelivery::kPassOn) {
+    transaction->HoldValue();
+    return decision;
+  }
+  transaction->BeginStream(attempt.number(), length);
   Enqueue(StreamStarted{attempt.id(), attempt.number()});
-  return true;
+  return decision;
 }
 
 AttemptOwner::Next BalancerDriver::OnStreamChunk(ServerAttempt& attempt, evbuffer* bytes) {
@@ -106,6 +113,14 @@
   if (ServerAttempt* attempt = StreamingAttempt(*transaction)) attempt->ResumeStream();
 }
 
+void BalancerDriver::ReviewValue(RequestId id) {
+  Transaction* transaction = Find(id);
+  if (transaction == nullptr) return;
+  for (auto& attempt : transaction->attempts()) {
+    if (attempt) attempt->ReviewValue();
+  }
+}
+
 void BalancerDriver::SetOperationTracker(OperationTracker* tracker) {
   operation_tracker_ = tracker;
   if (operation_tracker_ != nullptr) return;
--- a/src/stage/balancer_driver.h
+++ b/src/stage/balancer_driver.h
@@ -46,7 +46,7 @@
   void ClientLeft(RequestId id);
   void ServerListChanged(Scope scope, std::vector<ServerListEntry> entries);
   void OnAttemptEnded(ServerAttempt& attempt, FlowReply reply) override;
-  bool OnStreamStarted(ServerAttempt& attempt, std::size_t length) override;
+  std::optional<ValueDecision> OnLargeValue(ServerAttempt& attempt, std::size_t length) override;
   Next OnStreamChunk(ServerAttempt& attempt, evbuffer* bytes) override;
   bool IsAnswerNext(const ServerAttempt& attempt) const override;
   void OnAnswerWaits(ServerAttempt& attempt, bool waits) override;
@@ -69,6 +69,8 @@
   void CompleteRequest(RequestId id, OperationOutcome outcome, std::string value, Duration retry_after);
   // The client has accepted the pending part of a streamed value.
   void ResumeStream(RequestId id);
+  // The client has accepted all before a large value that was not passed on yet.
+  void ReviewValue(RequestId id);
 
   std::size_t transactions() const { return transactions_.size(); }
   std::size_t open_requests() const { return open_ids_.size(); }  // admitted and not yet answered
--- a/src/stage/server_attempt.cpp
+++ b/src/stage/server_attempt.cpp
@@ -8,7 +8,6 @@
 namespace {
 constexpr std::chrono::seconds kStreamTimeout{6};  // without a byte of a value that has started
 }  // namespace
-
 ServerAttempt::~ServerAttempt() {
   if (connection_ != nullptr) connection_->Abandon();
 }
@@ -24,11 +23,31 @@
   timeout_.Set(limits.timeout);
 }
 
-bool ServerAttempt::Began(std::size_t length) {
-  answer_began_ = clock_.Now();
-  if (!owner_.OnStreamStarted(*this, length)) return Cancel(), false;
+Attempt::ValueStep ServerAttempt::LargeValue(std::size_t length) {
+  if (answer_began_ == TimePoint{}) answer_began_ = clock_.Now();
+  std::optional<ValueDecision> decision = owner_.OnLargeValue(*this, length);
+  if (!decision) return Cancel(), ValueStep::kGone;
+  if (decision->delivery == ValueDelivery::kPassOn) {
+    review_.reset();
+    timeout_.Set(kStreamTimeout);
+    return ValueStep::kPassOn;
+  }
+  if (!review_) review_.emplace(base_, [this] { OnReviewDue(); });
+  if (decision->decide_again != Duration::max()) review_->Set(decision->decide_again);
+  if (decision->delivery == ValueDelivery::kLeaveUnread) {
+    timeout_.Stop();
+    return ValueStep::kLeaveUnread;
+  }
   timeout_.Set(kStreamTimeout);
-  return true;
+  return ValueStep::kHold;
+}
+
+void ServerAttempt::ReviewValue() {
+  if (review_) review_->Activate();
+}
+
+void ServerAttempt::OnReviewDue() {
+  if (connection_ != nullptr) connection_->ReviewValue();
 }
 
 bool ServerAttempt::Piece(evbuffer* bytes, bool& gone) {
@@ -48,6 +67,7 @@
 }
 
 void ServerAttempt::AnswerWaits(bool waits) {
+  if (review_) return waits ? timeout_.Stop() : timeout_.Set(kStreamTimeout);  // it is passed on in time
   if (waits && answer_began_ == TimePoint{}) answer_began_ = clock_.Now();
   answer_waits_ = waits;
   owner_.OnAnswerWaits(*this, waits);
@@ -103,6 +123,7 @@
   if (std::exchange(ended_, true)) return;
   connection_ = nullptr;
   timeout_.Stop();
+  review_.reset();
   owner_.OnAttemptEnded(*this, std::move(reply));
 }
 
--- a/src/stage/server_attempt.h
+++ b/src/stage/server_attempt.h
@@ -1,6 +1,7 @@
 // One attempt at a server, from the balancer's Send to its single outcome.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -20,8 +21,8 @@
   // Called once per attempt, possibly from within Start or Cancel. The attempt must not be destroyed by the
   // call.
   virtual void OnAttemptEnded(ServerAttempt& attempt, FlowReply reply) = 0;
-  // The first bytes of a large value have arrived. Returns false if the value is not wanted.
-  virtual bool OnStreamStarted(ServerAttempt& attempt, std::size_t length) = 0;
+  // Some of a large value has arrived, and nothing of it was passed on. Nothing: the value is not wanted.
+  virtual std::optional<ValueDecision> OnLargeValue(ServerAttempt& attempt, std::size_t length) = 0;
   enum class Next { kContinue, kPause, kCancel };
   virtual Next OnStreamChunk(ServerAttempt& attempt, evbuffer* bytes) = 0;
   // Whether its answer would be written to the client at once.
@@ -35,6 +36,7 @@
   ServerAttempt(AttemptOwner& owner, event_base* base, const Clock& clock, RequestId id, int number,
                 std::string member)
       : owner_(owner),
+        base_(base),
         clock_(clock),
         id_(id),
         number_(number),
@@ -57,8 +59,10 @@
 
   // Continues a large value after Next::kPause.
   void ResumeStream();
+  // Has it decided anew how a large value is delivered that was not passed on yet; soon, not within the call.
+  void ReviewValue();
 
-  bool Began(std::size_t length) override;
+  ValueStep LargeValue(std::size_t length) override;
   bool Piece(evbuffer* bytes, bool& gone) override;
   bool AnswerIsNext() const override { return owner_.IsAnswerNext(*this); }
   void AnswerWaits(bool waits) override;
@@ -81,11 +85,13 @@
 
  private:
   void OnTimeout();
+  void OnReviewDue();
   bool AbandonConnection();
   void EndWithResult(Result result);
   void End(FlowReply reply);
 
   AttemptOwner& owner_;
+  event_base* base_;
   const Clock& clock_;
   RequestId id_;
   int number_;
@@ -95,6 +101,7 @@
   MemberConnection* connection_ = nullptr;
   bool ended_ = false;
   bool answer_waits_ = false;
+  std::optional<Timer> review_;  // while a large value is not passed on
   Timer timeout_;
 };
 
--- a/src/stage/transaction.cpp
+++ b/src/stage/transaction.cpp
@@ -36,6 +36,17 @@
   return stream_attempt_ >= 0 ? nullptr : std::exchange(client_, nullptr);
 }
 
+// While answers before its own are owed, the client does not wait for this one alone.
+LargeValueFacts Transaction::FactsOfValue(TimePoint now) {
+  LargeValueFacts facts;
+  facts.commands_behind = client_->CommandsBehind(position_);
+  facts.next = is_next();
+  if (!facts.next) not_next_at_ = now;
+  facts.limit = request_->remaining;
+  facts.waited = now - std::max(not_next_at_, deadline_ - request_->remaining);
+  return facts;
+}
+
 bool Transaction::BeginStream(int attempt, std::size_t length) {
   if (client_ == nullptr || stream_attempt_ >= 0) return false;
   stream_attempt_ = attempt;
--- a/src/stage/transaction.h
+++ b/src/stage/transaction.h
@@ -30,6 +30,10 @@
   // Starts streaming the value of an attempt. From then on only EndStream or ClientLeft ends the transaction.
   // Returns false if it has ended or streams the value of another attempt.
   bool BeginStream(int attempt, std::size_t length);
+  // What is to be known of a large value that has begun to arrive for it.
+  LargeValueFacts FactsOfValue(TimePoint now);
+  // Nothing of it is written to the client for now.
+  void HoldValue() { client_->HoldValue(position_); }
   bool AppendChunk(evbuffer* bytes) { return client_->AppendChunk(position_, bytes); }
   void EndStream(bool complete);
   // The attempt whose value was being streamed when the client left; -1: none.
@@ -83,6 +87,7 @@
   AnswerSink* client_;  // null once answered
   std::uint64_t position_;
   int stream_attempt_ = -1;
+  TimePoint not_next_at_{};  // the last time at which answers before its own were seen to be owed
   Outcome outcome_ = Outcome::kLost;
   TimePoint deadline_;
   Counters& counters_;
--- a/tests/net/attempt_fixture.h
+++ b/tests/net/attempt_fixture.h
@@ -37,7 +37,7 @@
     elapsed = attempt.elapsed();
     outcome = reply.result;
   }
-  bool OnStreamStarted(ServerAttempt&, std::size_t) override { return false; }
+  std::optional<ValueDecision> OnLargeValue(ServerAttempt&, std::size_t) override { return std::nullopt; }
   Next OnStreamChunk(ServerAttempt&, evbuffer*) override { return Next::kCancel; }
   bool IsAnswerNext(const ServerAttempt&) const override { return answer_is_next; }
   void OnAnswerWaits(ServerAttempt&, bool waits) override { answer_waits += waits ? 1 : 0; }
--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -1,7 +1,10 @@
 // Large values that break off on their way, and what becomes of the other requests of their connections.
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <chrono>
 #include <string>
+#include <vector>
 
 #include "base/listen.h"
 #include "net/raw_client.h"
@@ -11,7 +14,11 @@
 namespace peatbend::net::test {
 namespace {
 
-constexpr std::size_t kLength = 1024 * 1024;  // of a large value, in bytes
+constexpr std::size_t kLength = 256 * 1024;  // of a large value, in bytes
+const std::string kLargeKey = "00000000000000ff";
+const std::string kLargeGet = Get(kLargeKey, "c=read,d=1900");
+const std::string kLargeValue = Large(kLength);
+const std::string kReceipt = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const std::string kOpening = "*3\r\n$" + std::to_string(kLength) + "\r\n";
 
 // The server's connection on which the request of this key came; null: none.
@@ -38,23 +45,23 @@
 // before the cut value was lost.
 TEST_CASE("cut value: an answer before it reaches a slow client whole, and what comes later stays unread") {
   const std::string value(60000, 'v');
-  const std::string small_key = "0000000000000011", large_key = "00000000000000ff";
+  const std::string small_key = "0000000000000011";
   Stage stage([&](End& end) {
-    bool large = end.got.find(large_key) != std::string::npos;
+    bool large = end.got.find(kLargeKey) != std::string::npos;
     end.Say(large ? kOpening + "begins" : Value(value));
   });
   HoldLittleUnsent(stage.router.port());
   RawClient client(stage.router.port(), 4096);
-  client.Send(Get(small_key, "c=read,d=1900") + Get(large_key, "c=read,d=1900"));
+  client.Send(Get(small_key, "c=read,d=1900") + kLargeGet);
   const Counters& counters = stage.router.counters();
   const std::string opens = "$" + std::to_string(kLength) + "\r\nbegins";
   stage.Until(
-      [&] { return stage.router.memory().in_use > opens.size() && HolderOfKey(stage.member, large_key); });
+      [&] { return stage.router.memory().in_use > opens.size() && HolderOfKey(stage.member, kLargeKey); });
   stage.Until([&] { return counters.Sum(&Counters::PerClass::served) == 1; });
   stage.Rest();
   REQUIRE(stage.router.memory().in_use >
           opens.size());  // something of the answer before is not with the system
-  HolderOfKey(stage.member, large_key)->Hang();
+  HolderOfKey(stage.member, kLargeKey)->Hang();
   stage.Until([&] { return counters.values_cut == 1; });
   client.Send(Get("2000", "c=read,d=1900"));
   stage.Until([&] { return client.Receive().closed; });
@@ -63,5 +70,170 @@
   CHECK(counters.requests == 2);
 }
 
+enum class Framing { kResp, kHttpLength, kHttpChunked };
+enum class CutAt { kFirstByte, kMiddle, kLastByte };
+enum class CutBy { kReset, kClose };
+
+std::string Framed(Framing framing) {
+  if (framing == Framing::kResp) return Value(kLargeValue);
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  if (framing == Framing::kHttpLength)
+    return head + "Content-Length: " + std::to_string(kLength) + "\r\n\r\n" + kLargeValue;
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", kLength);
+  return head + "Transfer-Encoding: chunked\r\n\r\n" + size + kLargeValue + "\r\n0\r\n\r\n";
+}
+
+std::string Before(CutAt at, const std::string& answer) {
+  if (at == CutAt::kFirstByte) return answer.substr(0, answer.find(kLargeValue.substr(0, 100)) + 1);
+  return answer.substr(0, at == CutAt::kMiddle ? answer.size() / 2 : answer.size() - 1);
+}
+
+// A cache server and an origin that answer all, but for the first answer with the large value: that is begun.
+class CuttingServers {
+ public:
+  CuttingServers(Framing framing, std::string first, int memory_mb = 192)
+      : framing_(framing),
+        first_(std::move(first)),
+        stage([this](End& end) { OnMember(end); }, [this](End& end) { OnOrigin(end); }, "", 1024, memory_mb) {
+  }
+
+ private:
+  void OnMember(End& end) {
+    if (!end.got.ends_with("\r\n")) return;
+    bool large = std::exchange(end.got, {}).find(kLargeKey) != std::string::npos;
+    if (!large) return end.Say(Value("small"));
+    framing_ == Framing::kResp ? SayLarge(end, Framing::kResp) : end.Say(kMiss);
+  }
+  void OnOrigin(End& end) {
+    bool large = end.got.find(kLargeKey) != std::string::npos;
+    if (end.got.starts_with("PUT ") ? !end.got.ends_with("offer") : !end.got.ends_with("\r\n\r\n")) return;
+    end.got.clear();
+    if (!large) return end.Say(kReceipt);
+    SayLarge(end, framing_ == Framing::kResp ? Framing::kHttpLength : framing_);
+  }
+  void SayLarge(End& end, Framing framing) {
+    bool first = std::exchange(holder, &end) == nullptr;
+    end.Say(first ? first_ : Framed(framing));
+  }
+  Framing framing_;
+  std::string first_;
+
+ public:
+  Stage stage;
+  End* holder = nullptr;  // the connection of the last answer with the large value
+};
+
+// `count` commands, writes and reads in turn, and their answers.
+std::string CommandsBehind(int count) {
+  std::string text;
+  for (int i = 0; i < count; ++i) {
+    std::string key = std::to_string(10000 + i);
+    text += i % 2 == 0 ? Set(key, "c=keyed,d=1900,k=" + key, "offer") : Get(key, "c=read,d=1900");
+  }
+  return text;
+}
+std::string AnswersBehind(int count) {
+  std::string text;
+  for (int i = 0; i < count; ++i) text += Bulk(i % 2 == 0 ? "ok" : "small");
+  return text;
+}
+
+void CutBefore(CuttingServers& servers, CutBy by, int behind) {
+  Stage& stage = servers.stage;
+  End& client = stage.Client(kLargeGet + CommandsBehind(behind));
+  stage.Until([&] { return servers.holder != nullptr && servers.holder->said_all(); });
+  stage.Rest();
+  by == CutBy::kReset ? servers.holder->Reset() : servers.holder->Hang();
+  const std::string answers = Bulk(kLargeValue) + AnswersBehind(behind);
+  stage.Until([&] { return client.got.size() >= answers.size() || client.closed; });
+  bool same = client.got == answers;
+  CHECK(same);
+  CHECK(stage.router.counters().values_cut == 0);
+  CHECK(stage.router.counters().requests_behind_cut == 0);
+}
+
+// Guards against requests that were sent on behind a large value and got no answer, as the value broke off
+// and the connection had to end.
+TEST_CASE("cut value: what was sent on behind it is answered, and the value is asked for again") {
+  for (Framing framing : {Framing::kResp, Framing::kHttpLength, Framing::kHttpChunked}) {
+    for (CutAt at : {CutAt::kFirstByte, CutAt::kMiddle, CutAt::kLastByte}) {
+      for (CutBy by : {CutBy::kReset, CutBy::kClose}) {
+        for (int behind : {1, 8, 127, 128}) {
+          INFO("framing ", static_cast<int>(framing), ", cut at ", static_cast<int>(at), " by ",
+               static_cast<int>(by), ", behind ", behind);
+          CuttingServers servers(framing, Before(at, Framed(framing)));
+          CutBefore(servers, by, behind);
+        }
+      }
+    }
+  }
+}
+
+// Guards against a value that is held for so long that its first bytes come too late.
+TEST_CASE("cut value: one that comes slowly is passed on within its time though commands are behind it") {
+  const std::string answer = Framed(Framing::kResp);
+  CuttingServers servers(Framing::kResp, Before(CutAt::kMiddle, answer));
+  auto from = std::chrono::steady_clock::now();
+  End& client = servers.stage.Client(kLargeGet + CommandsBehind(2));
+  servers.stage.Until([&] { return !client.got.empty(); });
+  CHECK(std::chrono::steady_clock::now() - from < std::chrono::milliseconds(1900));
+  CHECK(client.got.size() < kLength);
+  servers.holder->Say(answer.substr(Before(CutAt::kMiddle, answer).size()));
+  const std::string answers = Bulk(kLargeValue) + AnswersBehind(2);
+  servers.stage.Until([&] { return client.got.size() >= answers.size(); });
+  bool same = client.got == answers;
+  CHECK(same);
+}
+
+// Guards against a command that is sent on behind a value that may yet break off: it could not be answered.
+TEST_CASE("cut value: a command that comes while it is passed on is left unread until the value is whole") {
+  const std::string answer = Framed(Framing::kResp), half = Before(CutAt::kMiddle, answer);
+  CuttingServers servers(Framing::kResp, half);
+  Stage& stage = servers.stage;
+  RawClient client(stage.router.port());
+  client.Send(kLargeGet);
+  stage.Until([&] { return client.Receive().got.size() > kLength / 4; });
+  client.Send(CommandsBehind(2));
+  stage.Rest();
+  CHECK(stage.router.counters().requests == 1);
+  SUBCASE("it breaks off") {
+    servers.holder->Reset();
+    stage.Until([&] { return client.Receive().closed; });
+    stage.Until([&] { return stage.router.counters().clients_closed == 1; });
+    CHECK(client.WasReset());  // unread: the client may send it again
+    CHECK(stage.router.counters().requests == 1);
+    CHECK(stage.router.counters().requests_behind_cut == 0);
+  }
+  SUBCASE("it goes on") {
+    servers.holder->Say(answer.substr(half.size()));
+    const std::string answers = Bulk(kLargeValue) + AnswersBehind(2);
+    stage.Until([&] { return client.Receive().got.size() >= answers.size(); });
+    bool same = client.got == answers;
+    CHECK(same);
+  }
+}
+
+// Guards against values that are held beyond the memory for answers, or refused for want of it.
+TEST_CASE("cut value: those that are held for what is behind them stay within the memory, and are served") {
+  CuttingServers servers(Framing::kResp, Framed(Framing::kResp), 16);
+  Stage& stage = servers.stage;
+  constexpr int kClients = 80;  // whose values are four times the memory for answers
+  std::vector<End*> clients;
+  for (int i = 0; i < kClients; ++i) {
+    std::string key = std::to_string(20000 + i);
+    std::string large = Get(kLargeKey + std::to_string(i), "c=read,d=1900");
+    clients.push_back(&stage.Client(large + Get(key, "c=read,d=1900")));
+  }
+  const std::string answers = Bulk(kLargeValue) + Bulk("small");
+  const MemoryBudget& memory = stage.router.memory();
+  stage.Until([&] {
+    CHECK(memory.used_by(MemoryUse::kIncompleteAnswers) <= memory.max);
+    return std::ranges::all_of(clients, [&](End* client) { return client->got.size() >= answers.size(); });
+  });
+  CHECK(std::ranges::all_of(clients, [&](End* client) { return client->got == answers; }));
+  CHECK(stage.router.counters().Sum(&Counters::PerClass::served) == 2 * kClients);
+}
+
 }  // namespace
 }  // namespace peatbend::net::test
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -65,6 +65,14 @@
     if (socket_) bufferevent_write(socket_.get(), text.data(), text.size());
   }
   void Hang() { socket_.reset(); }
+  // The other end sees a reset, not an end.
+  void Reset() {
+    linger now{1, 0};
+    setsockopt(bufferevent_getfd(socket_.get()), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    Hang();
+  }
+  // Whether the system has taken all that was said.
+  bool said_all() const { return evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0; }
   // Says it, and closes once the system has taken all.
   void SayLast(std::string_view text) {
     hang_when_said_ = true;
