End a stop when the values under way have ended, not when the requests' time is over

Cause: Router::Stop ended the program when the longest deadline was over. Values that have begun may outlast it; so may answers that slow clients take. Evidence: "stopped: its time is over, 3150 ms after the signal: 3 clients, 3 transactions, 0 bytes of answers not taken": no bound on values, no client that left, nothing unsent. Change: at that time only connections with nothing to deliver are ended. The others have the stall bound and the least rate of values (base/value_bounds.h, in one place now): 6 s and the time of what is left at 64 KB a second. The program ends with the last of them; an upgrade's old process likewise, and hands the connections on. Why it works: requests are still bounded as before, and what outlasts them is bounded by bytes, whoever stalls.

--- a/src/front/answer_queue.cpp
+++ b/src/front/answer_queue.cpp
@@ -37,11 +37,14 @@
 void AnswerQueue::BeginValue(std::uint64_t place, std::size_t length) {
   Answer(place);
   SetValue(At(place), Entry::Value::kComes);
+  At(place).to_come = length;
   evbuffer_add_printf(At(place).answer.get(), "$%zu\r\n", length);
 }
 
 void AnswerQueue::AddPiece(std::uint64_t place, evbuffer* bytes) {
-  evbuffer* answer = At(place).answer.get();
+  Entry& entry = At(place);
+  entry.to_come -= std::min(entry.to_come, evbuffer_get_length(bytes));
+  evbuffer* answer = entry.answer.get();
   if (IsFirst(place)) {
     evbuffer_add_buffer(answer, bytes);  // is written at once
   } else {
@@ -58,12 +61,16 @@
 
 void AnswerQueue::PauseValue(std::uint64_t place) { SetValue(At(place), Entry::Value::kPaused); }
 
-void AnswerQueue::HoldValue(std::uint64_t place) { SetValue(At(place), Entry::Value::kHeld); }
+void AnswerQueue::HoldValue(std::uint64_t place, std::size_t length) {
+  SetValue(At(place), Entry::Value::kHeld);
+  At(place).to_come = length;
+}
 
 void AnswerQueue::SetValue(Entry& entry, Entry::Value value) {
   bool before = std::exchange(entry.value, value) != Entry::Value::kWhole;
   bool now = value != Entry::Value::kWhole;
   unfinished_ = unfinished_ + (now ? 1 : 0) - (before ? 1 : 0);
+  if (!now) entry.to_come = 0;
 }
 
 // An empty answer, to be filled.
@@ -117,6 +124,12 @@
   return size;
 }
 
+std::size_t AnswerQueue::bytes_to_come() const {
+  std::size_t size = 0;
+  for (const Entry& entry : entries_) size += entry.to_come;
+  return size;
+}
+
 std::vector<RequestId> AnswerQueue::Unanswered() const {
   std::vector<RequestId> ids;
   for (const Entry& entry : entries_) {
--- a/src/front/answer_queue.h
+++ b/src/front/answer_queue.h
@@ -33,7 +33,7 @@
   void Fail(std::uint64_t place);
 
   // A large value has begun to arrive, and is not handed out until Serve, Reject, Fail or BeginValue.
-  void HoldValue(std::uint64_t place);
+  void HoldValue(std::uint64_t place, std::size_t length);
   // An answer whose value is passed on in pieces.
   void BeginValue(std::uint64_t place, std::size_t length);
   void AddPiece(std::uint64_t place, evbuffer* bytes);
@@ -58,6 +58,8 @@
   BufferPtr TakeReady();
   // Bytes of answers that have not been handed out.
   std::size_t bytes() const;
+  // Bytes of large values that have not come.
+  std::size_t bytes_to_come() const;
   // Requests that have no whole answer yet.
   std::vector<RequestId> Unanswered() const;
   // Requests whose answers come after the first one.
@@ -67,6 +69,7 @@
   struct Entry {
     BufferPtr answer;  // null: not there yet
     enum class Value { kWhole, kHeld, kComes, kPaused } value = Value::kWhole;
+    std::size_t to_come = 0;  // bytes of a value that is not whole
     RequestId id{};
     bool is_request = false;
   };
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/value_bounds.h"
 #include "front/socket_state.h"
 
 namespace peatbend::net {
@@ -15,11 +16,8 @@
 constexpr std::size_t kLongCommand = 4 * 1024;
 constexpr std::size_t kUnbookedCommand = 1024;  // bytes
 constexpr std::size_t kMostMoved = 32 * 1024;   // bytes of a begun command that move to another process
-// Of a large value from a client: bytes a millisecond that it must bring at least; waiting for memory, at
-// most.
-constexpr std::size_t kLeastBytesAMs = 64;
-constexpr Milliseconds kRoomWithin{5000};
-constexpr Milliseconds kLastLinger{300};  // after a last call, for a client to see the end
+constexpr Milliseconds kRoomWithin{5000};  // for a large value from a client: waiting for memory, at most
+constexpr Milliseconds kLastLinger{300};   // after a last call, for a client to see the end
 }  // namespace
 
 ClientSession::ClientSession(SessionHome& home, event_base* base, evutil_socket_t socket,
@@ -262,7 +260,7 @@
   if (!asked_) return connected_ + tuning_.first_command;
   if (half_sent()) {  // a large value is given time by what has come of it
     auto got = body_ ? evbuffer_get_length(body_->request->body.get()) : 0;
-    return begun_ + tuning_.command + (waits_for_room_ ? kRoomWithin : Milliseconds(got / kLeastBytesAMs));
+    return begun_ + tuning_.command + (waits_for_room_ ? kRoomWithin : TimeAtLeastRate(got));
   }
   return idle() ? quiet_since_ + tuning_.idle : TimePoint::max();
 }
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -50,7 +50,7 @@
   void Serve(std::uint64_t place, evbuffer* value) override;
   void Reject(std::uint64_t place, Duration come_back) override;
   void Fail(std::uint64_t place) override;
-  void HoldValue(std::uint64_t place) override;
+  void HoldValue(std::uint64_t place, std::size_t length) override;
   std::size_t CommandsBehind(std::uint64_t place) const override;
   void BeginValue(std::uint64_t place, std::size_t length) override;
   bool AppendChunk(std::uint64_t place, evbuffer* bytes) override;
@@ -94,6 +94,11 @@
   TimePoint quiet_since() const { return quiet_since_; }
   bool half_sent() const { return begun_ != TimePoint::max(); }
   TimePoint begun() const { return begun_; }
+  // What is left to deliver after all requests have had their time. kGoesOn: answers that the client has not
+  // taken, or large values that are not whole, which have at most the time that the stall bound and the least
+  // rate of values give them, from the first call.
+  enum class Delivery { kNone, kGoesOn, kOverdue };
+  Delivery BoundDelivery(TimePoint now);
   // Answers what has come of a command with -ERR, after the answers owed, and takes no more.
   void TurnAway(std::string_view complaint);
   // Where it stands among the sessions; the listener's.
@@ -156,13 +161,14 @@
   bool closing_ = false;  // no more is taken; ends when all is written
   bool asked_ = false;    // a whole command has come
   std::uint64_t requests_ = 0;
-  std::size_t unread_ = 0;                    // as last told to the listener
-  TimePoint connected_, quiet_since_;         // the latter: nothing owed since
-  TimePoint begun_ = TimePoint::max();        // a command that is not whole yet began to arrive; max: none
-  TimePoint turned_away_ = TimePoint::max();  // its -ERR was written
-  bool last_call_ = false;                    // the socket is not read any more
-  std::optional<std::uint64_t> client_;       // its address, hashed, once somebody has asked for it
-  MemoryReservation memory_;                  // for answers that have not been taken
+  std::size_t unread_ = 0;                      // as last told to the listener
+  TimePoint connected_, quiet_since_;           // the latter: nothing owed since
+  TimePoint begun_ = TimePoint::max();          // a command that is not whole yet began to arrive; max: none
+  TimePoint deliver_until_ = TimePoint::max();  // what is owed still; max: not bounded
+  TimePoint turned_away_ = TimePoint::max();    // its -ERR was written
+  bool last_call_ = false;                      // the socket is not read any more
+  std::optional<std::uint64_t> client_;         // its address, hashed, once somebody has asked for it
+  MemoryReservation memory_;                    // for answers that have not been taken
   BuffereventPtr socket_;
   ReadPause read_pause_{socket_.get(), [this] { Leave(); }};
 };
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 
+#include "base/value_bounds.h"
 #include "front/client_session.h"
+#include "front/socket_state.h"
 
 namespace peatbend::net {
 namespace {
@@ -29,8 +31,8 @@
   Flush();
 }
 
-void ClientSession::HoldValue(std::uint64_t place) {
-  owed_.HoldValue(place);
+void ClientSession::HoldValue(std::uint64_t place, std::size_t length) {
+  owed_.HoldValue(place, length);
   LeaveUnread();
 }
 
@@ -139,6 +141,17 @@
   if (home_.doors().rest() != Doors::Rest::kStays && at_rest()) home_.AtRest(*this);
 }
 
+ClientSession::Delivery ClientSession::BoundDelivery(TimePoint now) {
+  if (turned_away_ != TimePoint::max()) {  // all is with the system
+    bool takes = HasUnacknowledged(bufferevent_getfd(socket_.get())) && now < due();
+    return takes ? Delivery::kGoesOn : Delivery::kNone;
+  }
+  std::size_t left = Unsent() + owed_.bytes_to_come();
+  if (left == 0 && !owed_.value_unfinished()) return Delivery::kNone;
+  if (deliver_until_ == TimePoint::max()) deliver_until_ = now + kValueStall + TimeAtLeastRate(left);
+  return now < deliver_until_ ? Delivery::kGoesOn : Delivery::kOverdue;
+}
+
 // What the client takes is free for other answers at once, not only when it has taken all.
 void ClientSession::OnOutputChanged(evbuffer*, const evbuffer_cb_info* change, void* self) {
   auto* session = static_cast<ClientSession*>(self);
--- a/src/front/listener.cpp
+++ b/src/front/listener.cpp
@@ -234,6 +234,22 @@
   answer_by_ = answer_by;
 }
 
+Listener::Deliveries Listener::EndAllButDeliveries() {
+  Deliveries deliveries;
+  TimePoint now = clock_.Now();
+  for (auto at = sessions_.begin(); at != sessions_.end();) {
+    ClientSession& session = **at++;
+    auto delivery = session.BoundDelivery(now);
+    if (delivery == ClientSession::Delivery::kGoesOn) {
+      ++deliveries.open;
+      continue;
+    }
+    if (delivery == ClientSession::Delivery::kOverdue) ++deliveries.cut;
+    End(session);
+  }
+  return deliveries;
+}
+
 Duration Listener::TimeToAnswer() const {
   if (answer_by_ == TimePoint::max()) return Duration::max();
   return std::max(answer_by_ - clock_.Now(), Duration::zero());
--- a/src/front/listener.h
+++ b/src/front/listener.h
@@ -42,6 +42,12 @@
   // The process ends soon: while connections close, commands are read until `read_until`, and what is taken
   // has time until `answer_by` at most.
   void EndSoon(TimePoint read_until, TimePoint answer_by);
+  // All requests have had their time: ends all sessions but those that still deliver answers. Each call ends
+  // those that have had the time for that.
+  struct Deliveries {
+    std::size_t open = 0, cut = 0;  // sessions
+  };
+  Deliveries EndAllButDeliveries();
   // Takes what waits in the accept queue, accepts no more, and calls `then` once the last session has ended.
   void Stop(std::function<void()> then);
   int port() const;
--- a/src/protocol/request.h
+++ b/src/protocol/request.h
@@ -48,8 +48,9 @@
   virtual void Serve(std::uint64_t position, evbuffer* value) = 0;
   virtual void Reject(std::uint64_t position, Duration come_back) = 0;
   virtual void Fail(std::uint64_t position) = 0;
-      // A large value has begun to arrive for this position, and is not written until Serve or BeginValue.
-  virtual void HoldValue(std::uint64_t position) = 0;
+  // A large value of `length` bytes has begun to arrive for this position, and is not written until Serve or
+  // BeginValue.
+  virtual void HoldValue(std::uint64_t position, std::size_t length) = 0;
   // Commands of the client that were read behind the one at this position, whether or not they were taken.
   virtual std::size_t CommandsBehind(std::uint64_t position) const = 0;
   // Starts a value of `length` bytes that is forwarded as it arrives.
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -115,6 +115,7 @@
   std::function<void()> then_;
   TimePoint stopped_at_{};  // when the stop was asked for
   bool ended_ = false;
+  bool delivers_at_last_ = false;  // stopping: the time of all requests is over
   std::string door_;
   Timer late_clients_over_, stop_at_last_, tell_keeps_, end_, room_late_;
 };
--- a/src/router/stopping.cpp
+++ b/src/router/stopping.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds kLongestWait{3000}, kForLastAnswers{50};
 // How often it is looked again whether all that was handed on has left.
 constexpr std::chrono::milliseconds kEndAgain{5};
+// How often it is looked again at what is still delivered after the requests' time.
+constexpr std::chrono::milliseconds kDeliveriesEvery{50};
 }  // namespace
 
 void Router::Stop(std::function<void()> then) {
@@ -40,7 +42,19 @@
   EndProgram("nothing is left");
 }
 
-void Router::StopAtLast() { EndProgram("its time is over"); }
+// Requests have had their time, which values may outlast: what is still delivered goes on, within the bounds
+// of values.
+void Router::StopAtLast() {
+  Listener::Deliveries deliveries = listener_.EndAllButDeliveries();
+  if (deliveries.cut > 0)
+    log_.Line("stopping", std::to_string(deliveries.cut) + " clients were too slow, or their servers: cut");
+  bool first = !std::exchange(delivers_at_last_, true);
+  if (first && deliveries.open > 0)
+    log_.Line("stopping", std::to_string(deliveries.open) + " clients are still given answers");
+  bool hands_on = first && !successor_.idle();
+  if (deliveries.open > 0 || hands_on) return stop_at_last_.Set(kDeliveriesEvery);
+  EndProgram("its time is over");
+}
 
 void Router::EndProgram(std::string_view why) {
   if (std::exchange(ended_, true)) return;
--- a/src/stage/balancer_driver.cpp
+++ b/src/stage/balancer_driver.cpp
@@ -83,7 +83,7 @@
     return std::nullopt;
   ValueDecision decision = DecideDelivery(transaction->FactsOfValue(clock_.Now()));
   if (decision.delivery != ValueDelivery::kPassOn) {
-    transaction->HoldValue();
+    transaction->HoldValue(length);
     return decision;
   }
   transaction->BeginStream(attempt.number(), length);
--- a/src/stage/server_attempt.cpp
+++ b/src/stage/server_attempt.cpp
@@ -2,12 +2,10 @@
 
 #include <algorithm>
 
+#include "base/value_bounds.h"
 #include "member/member_connections.h"
 
 namespace peatbend::net {
-namespace {
-constexpr std::chrono::seconds kStreamTimeout{6};  // without a byte of a value that has started
-}  // namespace
 ServerAttempt::~ServerAttempt() {
   if (connection_ != nullptr) connection_->Abandon();
 }
@@ -29,7 +27,7 @@
   if (!decision) return Cancel(), ValueStep::kGone;
   if (decision->delivery == ValueDelivery::kPassOn) {
     review_.reset();
-    timeout_.Set(kStreamTimeout);
+    timeout_.Set(kValueStall);
     return ValueStep::kPassOn;
   }
   if (!review_) review_.emplace(base_, [this] { OnReviewDue(); });
@@ -38,7 +36,7 @@
     timeout_.Stop();
     return ValueStep::kLeaveUnread;
   }
-  timeout_.Set(kStreamTimeout);
+  timeout_.Set(kValueStall);
   return ValueStep::kHold;
 }
 
@@ -53,7 +51,7 @@
 bool ServerAttempt::Piece(evbuffer* bytes, bool& gone) {
   switch (owner_.OnStreamChunk(*this, bytes)) {
     case AttemptOwner::Next::kContinue:
-      timeout_.Set(kStreamTimeout);
+      timeout_.Set(kValueStall);
       return true;
     case AttemptOwner::Next::kPause:
       timeout_.Stop();
@@ -67,7 +65,7 @@
 }
 
 void ServerAttempt::AnswerWaits(bool waits) {
-  if (review_) return waits ? timeout_.Stop() : timeout_.Set(kStreamTimeout);  // it is passed on in time
+  if (review_) return waits ? timeout_.Stop() : timeout_.Set(kValueStall);  // it is passed on in time
   if (waits && answer_began_ == TimePoint{}) answer_began_ = clock_.Now();
   answer_waits_ = waits;
   owner_.OnAnswerWaits(*this, waits);
@@ -75,7 +73,7 @@
 
 void ServerAttempt::ResumeStream() {
   if (ended_ || connection_ == nullptr) return;
-  timeout_.Set(kStreamTimeout);
+  timeout_.Set(kValueStall);
   connection_->Resume();
 }
 
--- a/src/stage/transaction.h
+++ b/src/stage/transaction.h
@@ -33,7 +33,7 @@
   // What is to be known of a large value that has begun to arrive for it.
   LargeValueFacts FactsOfValue(TimePoint now);
   // Nothing of it is written to the client for now.
-  void HoldValue() { client_->HoldValue(position_); }
+  void HoldValue(std::size_t length) { client_->HoldValue(position_, length); }
   bool AppendChunk(evbuffer* bytes) { return client_->AppendChunk(position_, bytes); }
   void EndStream(bool complete);
   // The attempt whose value was being streamed when the client left; -1: none.
--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -1,12 +1,9 @@
 // Large values that break off on their way, and what becomes of the other requests of their connections.
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <chrono>
 #include <string>
 #include <vector>
 
-#include "base/listen.h"
 #include "net/raw_client.h"
 #include "net/slow_client.h"
 #include "net/stage.h"
@@ -29,18 +26,6 @@
   return nullptr;
 }
 
-// The router's system holds little of what it writes on connections that it accepts from now on.
-void HoldLittleUnsent(int port) {
-  constexpr int kMostDescriptors = 256, kBytes = 4096;
-  for (int socket = 0; socket < kMostDescriptors; ++socket) {
-    int listens = 0;
-    socklen_t size = sizeof listens;
-    getsockopt(socket, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size);
-    if (listens != 0 && BoundPort(socket) == port)
-      setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &kBytes, sizeof kBytes);
-  }
-}
-
 // Guards against a connection that is closed over answers which its client has not taken: a whole answer
 // before the cut value was lost.
 TEST_CASE("cut value: an answer before it reaches a slow client whole, and what comes later stays unread") {
--- a/tests/net/slow_client.h
+++ b/tests/net/slow_client.h
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "base/listen.h"
 #include "net/stage.h"
 
 namespace peatbend::net::test {
@@ -30,4 +31,16 @@
   return client;
 }
 
+// The router's system holds little of what it writes on connections that it accepts from now on.
+inline void HoldLittleUnsent(int port) {
+  constexpr int kMostDescriptors = 256, kBytes = 4096;
+  for (int socket = 0; socket < kMostDescriptors; ++socket) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    getsockopt(socket, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size);
+    if (listens != 0 && BoundPort(socket) == port)
+      setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &kBytes, sizeof kBytes);
+  }
+}
+
 }  // namespace peatbend::net::test
