Count a held value's time from when its client waits for it alone

What callers would see: a value behind an answer that comes late was passed on at once when it was next, as 0.6 of its own time had run by then, and a cut took the commands behind it along after all. Change: the client's session tells since when its client has waited for the answer that is next. Test: net/cut_value_test, "behind an answer that comes late it is held too", fails with the time counted from the arrival, and passes.

--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -56,6 +56,7 @@
   bool AppendChunk(std::uint64_t place, evbuffer* bytes) override;
   void EndValue(std::uint64_t place, bool whole) override;
   bool IsNext(std::uint64_t place) const override;
+  TimePoint NextSince() const override { return last_written_; }
 
   // Nothing is owed and nothing has begun to arrive.
   bool idle() const;
@@ -161,9 +162,10 @@
   bool closing_ = false;  // no more is taken; ends when all is written
   bool asked_ = false;    // a whole command has come
   std::uint64_t requests_ = 0;
-  std::size_t unread_ = 0;                      // as last told to the listener
-  TimePoint connected_, quiet_since_;           // the latter: nothing owed since
-  TimePoint begun_ = TimePoint::max();          // a command that is not whole yet began to arrive; max: none
+  std::size_t unread_ = 0;              // as last told to the listener
+  TimePoint last_written_{};            // answers were handed to the socket, or the system took the last
+  TimePoint connected_, quiet_since_;   // the latter: nothing owed since
+  TimePoint begun_ = TimePoint::max();  // a command that is not whole yet began to arrive; max: none
   TimePoint deliver_until_ = TimePoint::max();  // what is owed still; max: not bounded
   TimePoint turned_away_ = TimePoint::max();    // its -ERR was written
   bool last_call_ = false;                      // the socket is not read any more
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -109,7 +109,7 @@
 // Writes the answers that are there, up to the first that is not whole, as one piece.
 void ClientSession::Flush() {
   if (BufferPtr out = owed_.TakeReady()) {
-    quiet_since_ = clock_.Now();
+    quiet_since_ = last_written_ = clock_.Now();
     // Where the session waits to hear that all is written, the bufferevent has to write, for it tells.
     bool told = closing_ || owed_.first_paused() || owed_.first_held() ||
                 home_.doors().rest() != Doors::Rest::kStays || (read_pause_.paused() && !leaves_unread_);
@@ -124,6 +124,7 @@
 }
 
 void ClientSession::Written() {  // all that was to be written is
+  last_written_ = clock_.Now();
   BookUnsent();
   if (auto held = owed_.first_held()) decision_.ReviewValue(*held);
   if (owed_.first_paused()) return decision_.ResumeStream(owed_.ResumeFirst());
--- a/src/protocol/request.h
+++ b/src/protocol/request.h
@@ -59,6 +59,8 @@
   virtual bool AppendChunk(std::uint64_t position, evbuffer* bytes) = 0;
   // Whether an answer at this position would be written at once: the client has taken all before it.
   virtual bool IsNext(std::uint64_t position) const = 0;
+  // Since when the client has waited for the answer that is next, alone.
+  virtual TimePoint NextSince() const = 0;
   // If not `complete`, the value was cut off and the client must be able to detect that.
   virtual void EndValue(std::uint64_t position, bool complete) = 0;
 };
--- a/src/stage/transaction.cpp
+++ b/src/stage/transaction.cpp
@@ -36,14 +36,13 @@
   return stream_attempt_ >= 0 ? nullptr : std::exchange(client_, nullptr);
 }
 
-// While answers before its own are owed, the client does not wait for this one alone.
-LargeValueFacts Transaction::FactsOfValue(TimePoint now) {
+// While answers before its own are owed, the client does not wait for this one.
+LargeValueFacts Transaction::FactsOfValue(TimePoint now) const {
   LargeValueFacts facts;
   facts.commands_behind = client_->CommandsBehind(position_);
   facts.next = is_next();
-  if (!facts.next) not_next_at_ = now;
   facts.limit = request_->remaining;
-  facts.waited = now - std::max(not_next_at_, deadline_ - request_->remaining);
+  if (facts.next) facts.waited = now - std::max(client_->NextSince(), deadline_ - request_->remaining);
   return facts;
 }
 
--- a/src/stage/transaction.h
+++ b/src/stage/transaction.h
@@ -31,7 +31,7 @@
   // Returns false if it has ended or streams the value of another attempt.
   bool BeginStream(int attempt, std::size_t length);
   // What is to be known of a large value that has begun to arrive for it.
-  LargeValueFacts FactsOfValue(TimePoint now);
+  LargeValueFacts FactsOfValue(TimePoint now) const;
   // Nothing of it is written to the client for now.
   void HoldValue(std::size_t length) { client_->HoldValue(position_, length); }
   bool AppendChunk(evbuffer* bytes) { return client_->AppendChunk(position_, bytes); }
@@ -87,7 +87,6 @@
   AnswerSink* client_;  // null once answered
   std::uint64_t position_;
   int stream_attempt_ = -1;
-  TimePoint not_next_at_{};  // the last time at which answers before its own were seen to be owed
   Outcome outcome_ = Outcome::kLost;
   TimePoint deadline_;
   Counters& counters_;
--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -155,6 +155,28 @@
   }
 }
 
+// Guards against a value that is passed on at once when it is next, as its own time had run while answers
+// before it were owed: its client had not waited for it yet.
+TEST_CASE("cut value: behind an answer that comes late it is held too, and what is behind it is answered") {
+  const std::string late_key = "000000000000dead", half = Before(CutAt::kMiddle, Framed(Framing::kResp));
+  Stage stage([&](End& end) {
+    if (!end.got.ends_with("\r\n") || end.got.find(late_key) != std::string::npos) return;
+    bool large = end.got.find(kLargeKey) != std::string::npos;
+    end.Say(large ? half : Value("small"));
+  });
+  End& client = stage.Client(Get(late_key, "c=read,d=1900") + kLargeGet + Get("2000", "c=read,d=1900"));
+  auto from = std::chrono::steady_clock::now();
+  stage.Until([&] { return std::chrono::steady_clock::now() - from > std::chrono::milliseconds(1300); });
+  HolderOfKey(stage.member, late_key)->Say(Value("late"));
+  stage.Until([&] { return client.got == Bulk("late"); });
+  stage.Rest();
+  CHECK(client.got == Bulk("late"));
+  HolderOfKey(stage.member, kLargeKey)->Reset();
+  stage.Until([&] { return client.got.ends_with(Bulk("small")) || client.closed; });
+  CHECK(!client.closed);
+  CHECK(stage.router.counters().values_cut == 0);
+}
+
 // Guards against a value that is held for so long that its first bytes come too late.
 TEST_CASE("cut value: one that comes slowly is passed on within its time though commands are behind it") {
   const std::string answer = Framed(Framing::kResp);
--- a/tests/net/held_attempt_test.cpp
+++ b/tests/net/held_attempt_test.cpp
@@ -45,6 +45,7 @@
   void Reject(std::uint64_t, Duration) override { ++answers; }
   void Fail(std::uint64_t) override { ++answers; }
   void HoldValue(std::uint64_t, std::size_t) override {}
+  TimePoint NextSince() const override { return {}; }
   std::size_t CommandsBehind(std::uint64_t) const override { return 0; }
   void BeginValue(std::uint64_t, std::size_t) override {}
   bool AppendChunk(std::uint64_t, evbuffer*) override { return true; }
