--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -1,12 +1,14 @@
 // Large values that break off on their way, and what becomes of the other requests of their connections.
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "net/raw_client.h"
 #include "net/slow_client.h"
 #include "net/stage.h"
+#include "net/successor_peer.h"
 
 namespace peatbend::net::test {
 namespace {
@@ -77,11 +79,11 @@
 // A cache server and an origin that answer all, but for the first answer with the large value: that is begun.
 class CuttingServers {
  public:
-  CuttingServers(Framing framing, std::string first, int memory_mb = 192)
+  CuttingServers(Framing framing, std::string first, int memory_mb = 192, const std::string& door = "")
       : framing_(framing),
         first_(std::move(first)),
-        stage([this](End& end) { OnMember(end); }, [this](End& end) { OnOrigin(end); }, "", 1024, memory_mb) {
-  }
+        stage([this](End& end) { OnMember(end); }, [this](End& end) { OnOrigin(end); }, "", 1024, memory_mb,
+              door) {}
 
  private:
   void OnMember(End& end) {
@@ -249,5 +251,50 @@
   CHECK(stage.router.counters().Sum(&Counters::PerClass::served) == 2 * kClients);
 }
 
+enum class EndOfRouter { kStop, kUpgradeAndStop };
+enum class Begun { kBefore, kAfter };
+
+// The large value with commands behind it begins before or after the router's end is asked for, and breaks
+// off.
+void CutWhileEnding(EndOfRouter end, Begun begun) {
+  Folder folder;
+  const std::string half = Before(CutAt::kMiddle, Framed(Framing::kResp));
+  CuttingServers servers(Framing::kResp, begun == Begun::kBefore ? half : "", 192, folder.Door());
+  Stage& stage = servers.stage;
+  constexpr int kBehind = 8;
+  End& client = stage.Client(kLargeGet + CommandsBehind(kBehind));
+  stage.Until([&] { return servers.holder != nullptr && servers.holder->said_all(); });
+  std::optional<SuccessorPeer> successor;
+  if (end == EndOfRouter::kUpgradeAndStop) {
+    successor.emplace(stage, folder.Door());
+    successor->Ready();
+  }
+  stage.router.Stop([] {});
+  stage.Rest();
+  End& holder = *servers.holder;
+  if (begun == Begun::kAfter) holder.Say(half);
+  stage.Until([&] { return holder.said_all(); });
+  stage.Rest();
+  holder.Reset();
+  const std::string answers = Bulk(kLargeValue) + AnswersBehind(kBehind);
+  stage.Until([&] { return client.got.size() >= answers.size() || client.closed; });
+  bool same = client.got == answers;
+  CHECK(same);
+  CHECK(stage.router.counters().requests_behind_cut == 0);
+}
+
+// Guards against requests behind a cut value that get no answer while the router ends.
+TEST_CASE("cut value: at a stop, and in an upgrade begun behind it, what is behind it is answered") {
+  CutWhileEnding(EndOfRouter::kStop, Begun::kBefore);
+  CutWhileEnding(EndOfRouter::kStop, Begun::kAfter);
+  CutWhileEnding(EndOfRouter::kUpgradeAndStop, Begun::kBefore);
+}
+
+// Guards against the same where the old process has no memory to hold the value, which waits unread and is
+// passed on after its server has reset.
+TEST_CASE("cut value: one that begins in an upgrade takes nothing along that is behind it") {
+  CutWhileEnding(EndOfRouter::kUpgradeAndStop, Begun::kAfter);
+}
+
 }  // namespace
 }  // namespace peatbend::net::test
