Make tests of memory and cut values independent of the machine's speed

"answers behind a late one" asks one server for 984 answers, and the module refused 909 to 912 of them within 0.3 s, since each waits for 0.18 s at most (0.6 of its aim); the 69 to 73 that were served fit into the memory, so that nothing ever waited for some, which the test awaits. "values of unknown length that waited for room" has 1.14 s for three values of 4 MiB. Change: the clients of these two cases, and of the cases of cut values that need no limit, wait for 19 s, and their class aims at 10 s. The checks and the numbers of requests, clients and bytes are as they were; more of them must be held within the memory than before, as none is refused for its wait.

--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -15,7 +15,8 @@
 
 constexpr std::size_t kLength = 256 * 1024;  // of a large value, in bytes
 const std::string kLargeKey = "00000000000000ff";
-const std::string kLargeGet = Get(kLargeKey, "c=read,d=1900");
+const std::string kLargeGet = Get(kLargeKey, "c=read," + kAmpleTime);
+const std::string kShortLargeGet = Get(kLargeKey, "c=read,d=1900");  // of a client that waits for 1.9 s
 const std::string kLargeValue = Large(kLength);
 const std::string kReceipt = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const std::string kOpening = "*3\r\n$" + std::to_string(kLength) + "\r\n";
@@ -83,13 +84,13 @@
       : framing_(framing),
         first_(std::move(first)),
         stage([this](End& end) { OnMember(end); }, [this](End& end) { OnOrigin(end); }, "", 1024, memory_mb,
-              door) {}
+              door, GiveAmpleTime) {}
 
  private:
   void OnMember(End& end) {
     if (!end.got.ends_with("\r\n")) return;
-    bool large = std::exchange(end.got, {}).find(kLargeKey) != std::string::npos;
-    if (!large) return end.Say(Value("small"));
+    const std::string got = std::exchange(end.got, {});
+    if (got.find(kLargeKey) == std::string::npos) return end.Say(Value("small"));
     framing_ == Framing::kResp ? SayLarge(end, Framing::kResp) : end.Say(kMiss);
   }
   void OnOrigin(End& end) {
@@ -116,7 +117,8 @@
   std::string text;
   for (int i = 0; i < count; ++i) {
     std::string key = std::to_string(10000 + i);
-    text += i % 2 == 0 ? Set(key, "c=keyed,d=1900,k=" + key, "offer") : Get(key, "c=read,d=1900");
+    text += i % 2 == 0 ? Set(key, "c=keyed," + kAmpleTime + ",k=" + key, "offer")
+                       : Get(key, "c=read," + kAmpleTime);
   }
   return text;
 }
@@ -166,7 +168,7 @@
     bool large = end.got.find(kLargeKey) != std::string::npos;
     end.Say(large ? half : Value("small"));
   });
-  End& client = stage.Client(Get(late_key, "c=read,d=1900") + kLargeGet + Get("2000", "c=read,d=1900"));
+  End& client = stage.Client(Get(late_key, "c=read,d=1900") + kShortLargeGet + Get("2000", "c=read,d=1900"));
   auto from = std::chrono::steady_clock::now();
   stage.Until([&] { return std::chrono::steady_clock::now() - from > std::chrono::milliseconds(1300); });
   HolderOfKey(stage.member, late_key)->Say(Value("late"));
@@ -184,7 +186,7 @@
   const std::string answer = Framed(Framing::kResp);
   CuttingServers servers(Framing::kResp, Before(CutAt::kMiddle, answer));
   auto from = std::chrono::steady_clock::now();
-  End& client = servers.stage.Client(kLargeGet + CommandsBehind(2));
+  End& client = servers.stage.Client(kShortLargeGet + CommandsBehind(2));
   servers.stage.Until([&] { return !client.got.empty(); });
   CHECK(std::chrono::steady_clock::now() - from < std::chrono::milliseconds(1900));
   CHECK(client.got.size() < kLength);
@@ -233,13 +235,13 @@
       [](End& end) {
         if (end.got.ends_with("offer")) end.got.clear(), end.Say(kReceipt);
       },
-      "", 1024, 16);
+      "", 1024, 16, "", GiveAmpleTime);
   constexpr int kClients = 6;  // whose values are five times the memory for answers
   std::vector<End*> clients;
   for (int i = 0; i < kClients; ++i) {
     std::string key = std::to_string(20000 + i);
-    std::string large = Get(kLargeKey + std::to_string(i), "c=read,d=1900");
-    clients.push_back(&stage.Client(large + Set(key, "c=keyed,d=1900,k=" + key, "offer")));
+    std::string large = Get(kLargeKey + std::to_string(i), "c=read," + kAmpleTime);
+    clients.push_back(&stage.Client(large + Set(key, "c=keyed," + kAmpleTime + ",k=" + key, "offer")));
   }
   const std::string answers = Bulk(value) + Bulk("ok");
   const MemoryBudget& memory = stage.router.memory();
--- a/tests/net/memory_test.cpp
+++ b/tests/net/memory_test.cpp
@@ -94,7 +94,7 @@
 
 // A stage whose cache server has nothing, and whose origin gives this value without a stated length.
 struct UnknownLength {
-  UnknownLength(const std::string& value, bool chunked)
+  UnknownLength(const std::string& value, bool chunked, const std::function<void(Config&)>& adjust = {})
       : stage(
             Stage::Says(kMiss),
             [value, chunked](End& end) {
@@ -102,7 +102,7 @@
               end.got.clear();
               chunked ? end.Say(Chunked(value)) : end.SayLast("HTTP/1.1 200 OK\r\n\r\n" + value);
             },
-            "", 1024, kMemoryMb) {}
+            "", 1024, kMemoryMb, "", adjust) {}
   Stage stage;
 };
 
@@ -138,9 +138,9 @@
 // Guards against a hold without end: an answer that waits for memory is read on once there is some.
 TEST_CASE("memory: values of unknown length that waited for room are served whole") {
   const std::string value = Large(resp::kMaxBody);
-  UnknownLength origin(value, true);
+  UnknownLength origin(value, true, GiveAmpleTime);
   Stage& stage = origin.stage;
-  for (int i = 0; i < 3; ++i) Deaf(stage, Get(KeyOf(i), "c=read,d=1900"));
+  for (int i = 0; i < 3; ++i) Deaf(stage, Get(KeyOf(i), "c=read," + kAmpleTime));
   UntilWithinMemory(stage, [&] { return stage.router.counters().answer_waits > 0; });
   for (End& client : stage.clients) client.Listens(true);
   auto whole = [&](End& client) { return client.got.size() >= Bulk(value).size(); };
@@ -230,11 +230,11 @@
         if (end.got.find(late) == std::string::npos && end.got.ends_with("\r\n")) end.Say(Value(value));
         end.got.clear();
       },
-      {}, "", 1024, kMemoryMb);
+      {}, "", 1024, kMemoryMb, "", GiveAmpleTime);
   constexpr int kClients = 24, kReads = 40;
   for (int i = 0; i < kClients; ++i) {
     std::string text = Get(late + std::to_string(100 + i), "c=read,d=1900");
-    for (int n = 0; n < kReads; ++n) text += Get(KeyOf(i * kReads + n), "c=read,d=1900");
+    for (int n = 0; n < kReads; ++n) text += Get(KeyOf(i * kReads + n), "c=read," + kAmpleTime);
     stage.Client(text);
   }
   // Once the late ones are given up, each client may have the short answer that is next.
--- a/tests/net/slow_client.h
+++ b/tests/net/slow_client.h
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include <chrono>
 #include <string>
 
 #include "base/listen.h"
@@ -17,6 +18,15 @@
   return text;
 }
 
+// Time enough for all that a test asks for, on a machine of any speed: nothing is refused for want of it.
+inline const std::string kAmpleTime = "d=19000";
+inline void GiveAmpleTime(Config& config) {
+  for (ClassSettings& cls : config.settings.classes) {
+    cls.aim = std::chrono::seconds(10);
+    cls.deadline = std::chrono::seconds(20);
+  }
+}
+
 // A client whose socket takes little and who reads nothing.
 inline End& Deaf(Stage& stage, const std::string& text) {
   int made = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
