Hold a large value beyond the budget where only such answers can free memory

What callers saw: a client sent a read of a large value and eight small commands at once while a new version took over. Cause: the old process's budget falls to what it has in use, which was the eight short answers that wait behind the value. An answer may go beyond the budget only where nothing else is reserved; so the value waited unread for 0.6 of its time, was passed on, and then its reset was seen. The same holds wherever answers behind late ones fill the memory. Evidence: the connection ends after 0.6 of the client's time, not at the reset. The account had one figure for all answers not taken; it has queued_answers now. Change: where all that is reserved waits for answers that are not whole, the leader goes beyond the budget, one answer at a time; and the lead passes to an answer that is next for its client. Why it works: as none of that memory can become free before one of these answers is whole, the wait could only end by its time. What goes beyond the budget is at most one answer: once whole it is the client's to take, and no other goes beyond it meanwhile.

--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -10,9 +10,9 @@
 namespace peatbend::net {
 
 // What holds reserved bytes: the values of clients' requests; answers of servers that are held until they are
-// whole; answers that clients have not taken.
-enum class MemoryUse : std::size_t { kRequests, kIncompleteAnswers, kUnsentAnswers };
-inline constexpr std::size_t kMemoryUses = 3;
+// whole; answers that clients have not taken; answers that wait behind one that has not come.
+enum class MemoryUse : std::size_t { kRequests, kIncompleteAnswers, kUnsentAnswers, kQueuedAnswers };
+inline constexpr std::size_t kMemoryUses = 4;
 
 struct MemoryBudget {
   std::size_t max = 64 * 1024 * 1024, in_use = 0;  // bytes
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -33,6 +33,7 @@
       connected_(clock.Now()),
       quiet_since_(connected_),
       memory_(home.memory(), MemoryUse::kUnsentAnswers),
+      queued_memory_(home.memory(), MemoryUse::kQueuedAnswers),
       socket_(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE)) {
   int yes = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -126,6 +126,7 @@
   void Flush();
   std::size_t Unsent() const;
   void BookUnsent();
+  void ReserveUnsent();
   void Written();
   void TakeNoMore();
   // No answer is owed, and the system has all that was answered.
@@ -171,6 +172,7 @@
   bool last_call_ = false;                      // the socket is not read any more
   std::optional<std::uint64_t> client_;         // its address, hashed, once somebody has asked for it
   MemoryReservation memory_;                    // for answers that have not been taken
+  MemoryReservation queued_memory_;             // for answers behind one that has not come
   BuffereventPtr socket_;
   ReadPause read_pause_{socket_.get(), [this] { Leave(); }};
 };
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -100,9 +100,17 @@
   return evbuffer_get_length(bufferevent_get_output(socket_.get())) + owed_.bytes();
 }
 
+// What falls is returned before what grows is reserved, so that nothing counts twice.
+void ClientSession::ReserveUnsent() {
+  std::size_t queued = owed_.bytes_queued();
+  queued_memory_.Set(std::min(queued, queued_memory_.size()));
+  memory_.Set(Unsent() - queued);
+  queued_memory_.Set(queued);
+}
+
 // Books what the client has not taken, and lets the answer that is next now be read on.
 void ClientSession::BookUnsent() {
-  memory_.Set(Unsent());
+  ReserveUnsent();
   if (!owed_.empty()) home_.memory().Recheck();
 }
 
@@ -156,8 +164,7 @@
 // What the client takes is free for other answers at once, not only when it has taken all.
 void ClientSession::OnOutputChanged(evbuffer*, const evbuffer_cb_info* change, void* self) {
   auto* session = static_cast<ClientSession*>(self);
-  if (change->n_deleted > 0 && session->memory_.size() > kLeastUnsent)
-    session->memory_.Set(session->Unsent());
+  if (change->n_deleted > 0 && session->memory_.size() > kLeastUnsent) session->ReserveUnsent();
 }
 
 }  // namespace peatbend::net
--- a/src/member/answer_memory.cpp
+++ b/src/member/answer_memory.cpp
@@ -18,7 +18,18 @@
   budget_.on_freed = [this] { WakeWaiting(); };
 }
 
+// The lead goes to the first long answer that is next for its client, unless the leader is.
+void AnswerMemory::PassLead() {
+  if (leader_ != nullptr && leader_->is_next_()) return;
+  auto next = std::ranges::find_if(
+      waiting_, [](const AnswerReservation* answer) { return !answer->IsShort() && answer->is_next_(); });
+  if (next == waiting_.end()) return;
+  leader_ = *next;
+  waiting_.splice(waiting_.begin(), waiting_, next);
+}
+
 void AnswerMemory::GrantWaiting() {
+  PassLead();
   bool long_one_waits = false;
   for (auto at = waiting_.begin(); at != waiting_.end();) {
     AnswerReservation& waiting = **at++;
@@ -33,6 +44,14 @@
   }
 }
 
+bool AnswerMemory::OnlyWaitingUse(const AnswerReservation& but_for) const {
+  std::size_t waiting = budget_.used_by(MemoryUse::kQueuedAnswers) + but_for.reserved();
+  for (const AnswerReservation* answer : waiting_) {
+    if (answer != &but_for) waiting += answer->reserved();
+  }
+  return waiting >= budget_.in_use;
+}
+
 bool AnswerReservation::IsShort() const { return most_ <= kShort; }
 
 bool AnswerReservation::Grow(std::size_t held, std::size_t most) {
@@ -44,6 +63,7 @@
   waits_ = true;
   auto place = memory_.leader_ == this ? memory_.waiting_.begin() : memory_.waiting_.end();
   self_ = memory_.waiting_.insert(place, this);
+  memory_.WakeWaiting();
   return false;
 }
 
@@ -53,7 +73,11 @@
   if (reserved_.Try(most_)) return true;
   if (IsShort() && is_next_()) return reserved_.Set(most_), true;
   if (memory_.leader_ == nullptr) memory_.leader_ = this;
-  return memory_.leader_ == this && reserved_.Try(std::min(most_, held_ + kLeaderStep));
+  if (memory_.leader_ != this) return false;
+  std::size_t step = std::min(most_, held_ + kLeaderStep);
+  if (reserved_.Try(step)) return true;
+  if (!is_next_() || !memory_.OnlyWaitingUse(*this)) return false;
+  return reserved_.Set(step), true;
 }
 
 void AnswerReservation::StopWaiting() {
--- a/src/member/answer_memory.h
+++ b/src/member/answer_memory.h
@@ -3,7 +3,9 @@
 //
 // Several answers that have a part of the budget each, and none of them the rest, could never become whole.
 // So while memory is short an answer is read on only with room for all that it may become, except for one,
-// the leader, which takes whatever becomes free.
+// the leader, which takes whatever becomes free. An answer that its client would be given at once takes the
+// lead from one that waits behind others. Where no memory can become free before one of the waiting answers
+// is whole, such a leader goes beyond the budget.
 #pragma once
 
 #include <algorithm>
@@ -30,6 +32,10 @@
  private:
   friend class AnswerReservation;
   void GrantWaiting();
+  void PassLead();
+  // Whether all that is reserved belongs to answers that wait for memory, `but_for` this one, or to answers
+  // that wait behind others.
+  bool OnlyWaitingUse(const AnswerReservation& but_for) const;
   // How much of the budget may be in use for an answer to be read on without room for all of it.
   std::size_t PlentifulUpTo(std::size_t most) const {
     return (budget_.max - std::min(budget_.max, most)) / 2;
--- a/src/router/figures.cpp
+++ b/src/router/figures.cpp
@@ -27,6 +27,7 @@
           {"reserved_most", memory_.most_in_use},
           {"requests", memory_.used_by(MemoryUse::kRequests)},
           {"unsent_answers", memory_.used_by(MemoryUse::kUnsentAnswers)},
+          {"queued_answers", memory_.used_by(MemoryUse::kQueuedAnswers)},
           {"incomplete_answers", memory_.used_by(MemoryUse::kIncompleteAnswers)},
           {"incomplete_answers_held", connections_.held()},
           {"open_requests", decision_.open_requests()},
--- a/src/router/stopping.cpp
+++ b/src/router/stopping.cpp
@@ -63,7 +63,8 @@
             fmt::format("{}, {} ms after the signal: {} clients, {} transactions, {} bytes of answers "
                         "not taken",
                         why, since_stop.count(), listener_.sessions(), decision_.transactions(),
-                        memory_.used_by(MemoryUse::kUnsentAnswers)));
+                        memory_.used_by(MemoryUse::kUnsentAnswers) +
+                            memory_.used_by(MemoryUse::kQueuedAnswers)));
   then_();
 }
 
--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kLength = 256 * 1024;  // of a large value, in bytes
 const std::string kLargeKey = "00000000000000ff";
+const std::string kLongKey = "0000000000000011";    // of a value that is not large, of 60,000 bytes
+const std::string kSilentKey = "000000000000dead";  // of which no answer comes
 const std::string kLargeGet = Get(kLargeKey, "c=read," + kAmpleTime);
 const std::string kShortLargeGet = Get(kLargeKey, "c=read,d=1900");  // of a client that waits for 1.9 s
 const std::string kLargeValue = Large(kLength);
@@ -90,6 +92,8 @@
   void OnMember(End& end) {
     if (!end.got.ends_with("\r\n")) return;
     const std::string got = std::exchange(end.got, {});
+    if (got.find(kLongKey) != std::string::npos) return end.Say(Value(std::string(60000, 'v')));
+    if (got.find(kSilentKey) != std::string::npos) return;
     if (got.find(kLargeKey) == std::string::npos) return end.Say(Value("small"));
     framing_ == Framing::kResp ? SayLarge(end, Framing::kResp) : end.Say(kMiss);
   }
@@ -298,5 +302,32 @@
   CutWhileEnding(EndOfRouter::kUpgradeAndStop, Begun::kAfter);
 }
 
+// Guards against a value that is passed on for want of memory to hold it, as all of that is taken by answers
+// that wait behind others and can't become free.
+TEST_CASE("cut value: one is held though answers that wait behind others fill the memory") {
+  CuttingServers servers(Framing::kResp, "", 16);
+  Stage& stage = servers.stage;
+  constexpr int kClients = 4, kBehind = 30;  // whose answers are more than the memory takes
+  for (int i = 0; i < kClients; ++i) {
+    std::string commands = Get(kSilentKey + std::to_string(i), "c=read," + kAmpleTime);
+    for (int n = 0; n < kBehind; ++n)
+      commands += Get(kLongKey + std::to_string(100 * i + n), "c=read," + kAmpleTime);
+    stage.Client(commands);
+  }
+  stage.Until([&] { return stage.router.counters().answer_waits > 0; });
+  End& client = stage.Client(kLargeGet + CommandsBehind(2));
+  stage.Until([&] { return servers.holder != nullptr; });
+  End& holder = *servers.holder;
+  holder.Say(Before(CutAt::kMiddle, Framed(Framing::kResp)));
+  stage.Until([&] { return holder.said_all(); });
+  stage.Rest();
+  holder.Reset();
+  const std::string answers = Bulk(kLargeValue) + AnswersBehind(2);
+  stage.Until([&] { return client.got.size() >= answers.size() || client.closed; });
+  bool same = client.got == answers;
+  CHECK(same);
+  CHECK(stage.router.counters().values_cut == 0);
+}
+
 }  // namespace
 }  // namespace peatbend::net::test
