Notice a server's end while its large value is left unread, and do not pass it on

What callers saw: memory was short, and a large value with commands behind it waited unread. Its server reset; 0.6 of the client's time after the request the value was passed on all the same, broke off, and the commands behind it, which had run, got no answer. Cause: a connection to a server that is not read tells the loop neither of a close nor of a reset, and nothing else looked; client connections are looked at every 20 ms (ReadPause). A server that has ended with less in the kernel than the value lacks is a broken attempt, and the module asks again or answers. The two queries of a socket's queues stand in base alone. Why it works: what is known to be cut is not written to a client whose other answers would go down with it. Test: net/cut_value_test, "one whose server ended while it waited for memory", fails on the commit before and passes.

--- a/src/base/socket_peek.h
+++ b/src/base/socket_peek.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <event2/util.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <cstddef>
 
 namespace peatbend::net {
 
@@ -24,6 +27,13 @@
   return nothing ? SocketInput::kNothing : SocketInput::kEnd;
 }
 
+// The bytes that the kernel holds unread; 0 if it does not tell.
+inline std::size_t UnreadBytes(evutil_socket_t socket) {
+  int bytes = 0;
+  bool known = ioctl(socket, SIOCINQ, &bytes) == 0;
+  return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 // Whether the peer has closed or reset the connection, even if input is still unread.
 inline bool PeerClosed(evutil_socket_t socket) {
   pollfd end{socket, POLLRDHUP, 0};
--- a/src/member/member_codec.cpp
+++ b/src/member/member_codec.cpp
@@ -92,6 +92,7 @@
     return some ? std::optional(length_) : std::nullopt;
   }
   void Pass(evbuffer* out) override { evbuffer_add_buffer(out, value_.get()); }
+  std::size_t Missing() const override { return left_; }
   std::size_t Held(evbuffer* in) const override {
     return evbuffer_get_length(in) + evbuffer_get_length(value_.get());
   }
--- a/src/member/member_connection.cpp
+++ b/src/member/member_connection.cpp
@@ -33,6 +33,9 @@
 bool MemberConnection::Dial(const sockaddr_storage& address, int size, Duration timeout) {
   socket_.reset(bufferevent_socket_new(home_.base_, -1, BEV_OPT_CLOSE_ON_FREE));
   if (!socket_) return false;
+  read_pause_.emplace(socket_.get(), [this] {
+    if (EndedShort()) Break();
+  });
   bufferevent_setcb(socket_.get(), OnRead, OnWritten, OnEvent, this);
   if (bufferevent_socket_connect(socket_.get(), reinterpret_cast<const sockaddr*>(&address), size) != 0) {
     return false;
@@ -149,7 +152,7 @@
 bool MemberConnection::PassOn(evbuffer* last) {
   if (!passing_value_) {
     if (!codec_->Streams()) return true;
-    if (!BeginPassing()) return false;
+    if (!DecideDelivery()) return false;
     if (!passing_value_) return true;
   }
   BufferPtr piece = NewBuffer();
@@ -165,9 +168,20 @@
   return true;
 }
 
-// Begins to pass a large value on, or has it held until it is whole; false if the connection is gone, or is
-// to wait.
-bool MemberConnection::BeginPassing() {
+// Whether the answer will never be whole: its server has ended the connection, and what the kernel holds is
+// less than what its large value lacks.
+bool MemberConnection::EndedShort() const {
+  evutil_socket_t socket = bufferevent_getfd(socket_.get());
+  if (!codec_->Streams() || !PeerClosed(socket)) return false;
+  std::size_t unread = UnreadBytes(socket);
+  return unread == 0 ||
+         evbuffer_get_length(bufferevent_get_input(socket_.get())) + unread < codec_->Missing();
+}
+
+// Asks what becomes of a large value of which nothing was passed on; false if the connection is gone, or is
+// to wait. The loop does not tell of an end while the socket is not read.
+bool MemberConnection::DecideDelivery() {
+  if (EndedShort()) return Break(), false;
   using enum Attempt::ValueStep;
   switch (attempt_->LargeValue(*codec_->Streams())) {
     case kGone:
@@ -182,24 +196,27 @@
   passing_value_ = true;
   answer_memory_.Reset();  // its client's session books what it is given
   bufferevent_setwatermark(socket_.get(), EV_READ, 0, kMostUnread);
-  if (std::exchange(paused_, false)) bufferevent_enable(socket_.get(), EV_READ);
+  if (std::exchange(paused_, false)) read_pause_->Resume();
   return true;
 }
 
 void MemberConnection::ReviewValue() {
   if (attempt_ == nullptr || passing_value_) return;
-  bool keeps_its_turn = answer_memory_.waits();
-  keeps_its_turn || !paused_ ? static_cast<void>(PassOn(nullptr)) : Resume();
+  bool left_unread = paused_ && !answer_memory_.waits();
+  if (left_unread) return Resume();
+  PassOn(nullptr);  // keeps its turn for memory, unless it is passed on
 }
 
+// What is passed on goes to its client as far as it has come, whatever follows.
 void MemberConnection::Pause() {
   paused_ = true;
+  if (!passing_value_) return read_pause_->Pause();
   bufferevent_disable(socket_.get(), EV_READ);
 }
 
 void MemberConnection::Resume() {
   if (!std::exchange(paused_, false)) return;
-  bufferevent_enable(socket_.get(), EV_READ);
+  read_pause_->Resume();
   Read();
 }
 
@@ -209,7 +226,7 @@
     home_.log_.Line("member malformed", member_.name + ": " + std::string(reply.complaint));
   }
   if (std::exchange(passing_value_, false)) bufferevent_setwatermark(socket_.get(), EV_READ, 0, 0);
-  if (std::exchange(paused_, false)) bufferevent_enable(socket_.get(), EV_READ);
+  if (std::exchange(paused_, false)) read_pause_->Resume();
   if (reply.value) reply.memory = answer_memory_.Take(evbuffer_get_length(reply.value.get()));
   answer_memory_.Reset();
   Attempt* attempt = std::exchange(attempt_, nullptr);
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 #include "base/counters.h"
 #include "base/event_handles.h"
 #include "base/log.h"
+#include "base/read_pause.h"
 #include "base/socket_budget.h"
 #include "base/socket_peek.h"
 #include "base/tuning.h"
@@ -73,7 +75,8 @@
   void Written();
   void Write();
   bool PassOn(evbuffer* last);
-  bool BeginPassing();
+  bool DecideDelivery();
+  bool EndedShort() const;
   void Pause();
   void ReserveHeld();
   void ReadOn();
@@ -105,6 +108,7 @@
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
   Timer timer_;  // dialling: not up in time; sending: not delivered in time; idle: to be closed
   BuffereventPtr socket_;
+  std::optional<ReadPause> read_pause_;  // set with the socket
 };
 
 struct Member {
--- a/src/member/origin.cpp
+++ b/src/member/origin.cpp
@@ -56,7 +56,7 @@
     passed_ = true;
     evbuffer_add_buffer(out, reader_->body());
   }
-
+  std::size_t Missing() const override { return reader_ ? reader_->remaining() : 0; }
   std::size_t Held(evbuffer* in) const override {
     return evbuffer_get_length(in) + (reader_ ? evbuffer_get_length(reader_->body()) : 0);
   }
--- a/src/member/server_codec.h
+++ b/src/member/server_codec.h
@@ -36,6 +36,8 @@
   // and was not given yet. Read's answer has no value then, and comes once the whole of it was given.
   virtual std::optional<std::size_t> Streams() const = 0;
   virtual void Pass(evbuffer* out) = 0;
+  // Bytes of that value which have not come.
+  virtual std::size_t Missing() const = 0;
   // Bytes held of an answer that is neither whole nor passed on as it comes; `in` is what was not read yet.
   virtual std::size_t Held(evbuffer* in) const = 0;
   // The most that this can become.
--- a/src/protocol/http1.h
+++ b/src/protocol/http1.h
@@ -34,6 +34,8 @@
   // The value of Content-Length, if present.
   std::optional<std::size_t> length() const { return length_; }
   evbuffer* body() const { return body_.get(); }
+  // Bytes of the body, or of its chunk, that have not come; 0 where it ends with the connection.
+  std::size_t remaining() const { return remaining_; }
   // Describes the fault after kMalformed.
   std::string_view error() const { return error_; }
 
--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -329,5 +329,33 @@
   CHECK(stage.router.counters().values_cut == 0);
 }
 
+// Guards against a value that waits unread for memory until its time is over, and is passed on though its
+// server has reset meanwhile.
+TEST_CASE("cut value: one whose server ended while it waited for memory is not passed on") {
+  Folder folder;
+  CuttingServers servers(Framing::kResp, "", 192, folder.Door());
+  Stage& stage = servers.stage;
+  HoldLittleUnsent(stage.router.port());
+  Deaf(stage, Get(kLongKey, "c=read," + kAmpleTime));
+  const MemoryBudget& memory = stage.router.memory();
+  stage.Until([&] { return memory.used_by(MemoryUse::kUnsentAnswers) > 0; });
+  End& client = stage.Client(kShortLargeGet + CommandsBehind(2));
+  stage.Until([&] { return servers.holder != nullptr; });
+  SuccessorPeer successor(stage, folder.Door());
+  successor.Ready();
+  stage.router.Stop([] {});
+  stage.Until([&] { return memory.free() == 0; });
+  End& holder = *servers.holder;
+  holder.Say(Before(CutAt::kMiddle, Framed(Framing::kResp)));
+  stage.Until([&] { return holder.said_all(); });
+  stage.Rest();
+  holder.Reset();
+  const std::string answers = Bulk(kLargeValue) + AnswersBehind(2);
+  stage.Until([&] { return client.got.size() >= answers.size() || client.closed; });
+  bool same = client.got == answers;
+  CHECK(same);
+  CHECK(stage.router.counters().values_cut == 0);
+}
+
 }  // namespace
 }  // namespace peatbend::net::test
