--- a/src/front/answer_queue.h
+++ b/src/front/answer_queue.h
@@ -58,8 +58,8 @@
   BufferPtr TakeReady();
   // Bytes of answers that have not been handed out.
   std::size_t bytes() const;
-  // Those of them that wait behind an answer of which nothing can be handed out.
-  std::size_t bytes_queued() const { return entries_.empty() || entries_.front().answer ? 0 : bytes(); }
+  // Whether nothing of the first answer has come, so that those behind it wait.
+  bool blocked() const { return !entries_.empty() && !entries_.front().answer; }
   // Bytes of large values that have not come.
   std::size_t bytes_to_come() const;
   // Requests that have no whole answer yet.
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -92,6 +92,7 @@
   begun_ = TimePoint::max();
   TakeNoMore();
   Account();
+  BookUnsent();
   if (all_written()) Written();
 }
 
@@ -102,9 +103,11 @@
 
 // What falls is returned before what grows is reserved, so that nothing counts twice.
 void ClientSession::ReserveUnsent() {
-  std::size_t queued = owed_.bytes_queued();
+  std::size_t unsent = Unsent();
+  std::size_t written = evbuffer_get_length(bufferevent_get_output(socket_.get()));
+  std::size_t queued = owed_.blocked() ? unsent - written : 0;
   queued_memory_.Set(std::min(queued, queued_memory_.size()));
-  memory_.Set(Unsent() - queued);
+  memory_.Set(unsent - queued);
   queued_memory_.Set(queued);
 }
 
--- a/src/router/stopping.cpp
+++ b/src/router/stopping.cpp
@@ -59,12 +59,12 @@
 void Router::EndProgram(std::string_view why) {
   if (std::exchange(ended_, true)) return;
   auto since_stop = std::chrono::duration_cast<Milliseconds>(clock_.Now() - stopped_at_);
-  log_.Line("stopped",
-            fmt::format("{}, {} ms after the signal: {} clients, {} transactions, {} bytes of answers "
-                        "not taken",
-                        why, since_stop.count(), listener_.sessions(), decision_.transactions(),
-                        memory_.used_by(MemoryUse::kUnsentAnswers) +
-                            memory_.used_by(MemoryUse::kQueuedAnswers)));
+  log_.Line(
+      "stopped",
+      fmt::format("{}, {} ms after the signal: {} clients, {} transactions, {} bytes of answers "
+                  "not taken",
+                  why, since_stop.count(), listener_.sessions(), decision_.transactions(),
+                  memory_.used_by(MemoryUse::kUnsentAnswers) + memory_.used_by(MemoryUse::kQueuedAnswers)));
   then_();
 }
 
--- a/tests/net/broken_answers_test.cpp
+++ b/tests/net/broken_answers_test.cpp
@@ -127,12 +127,7 @@
   CHECK(in_time);
 }
 
-End* HolderOf(Stage& stage, const std::string& key) {
-  for (End& end : stage.member.ends) {
-    if (end.got.find("\r\n" + key + "\r\n") != std::string::npos) return &end;
-  }
-  return nullptr;
-}
+End* HolderOf(Stage& stage, const std::string& key) { return stage.member.Receiver("\r\n" + key + "\r\n"); }
 
 // A request of this key, once the server has it.
 End& Sent(Stage& stage, const std::string& key) {
--- a/tests/net/cut_value_test.cpp
+++ b/tests/net/cut_value_test.cpp
@@ -23,14 +23,6 @@
 const std::string kReceipt = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const std::string kOpening = "*3\r\n$" + std::to_string(kLength) + "\r\n";
 
-// The server's connection on which the request of this key came; null: none.
-End* HolderOfKey(Peer& server, const std::string& key) {
-  for (End& end : server.ends) {
-    if (end.got.find(key) != std::string::npos) return &end;
-  }
-  return nullptr;
-}
-
 // Guards against a connection that is closed over answers which its client has not taken: a whole answer
 // before the cut value was lost.
 TEST_CASE("cut value: an answer before it reaches a slow client whole, and what comes later stays unread") {
@@ -46,12 +38,12 @@
   const Counters& counters = stage.router.counters();
   const std::string opens = "$" + std::to_string(kLength) + "\r\nbegins";
   stage.Until(
-      [&] { return stage.router.memory().in_use > opens.size() && HolderOfKey(stage.member, kLargeKey); });
+      [&] { return stage.router.memory().in_use > opens.size() && stage.member.Receiver(kLargeKey); });
   stage.Until([&] { return counters.Sum(&Counters::PerClass::served) == 1; });
   stage.Rest();
   REQUIRE(stage.router.memory().in_use >
           opens.size());  // something of the answer before is not with the system
-  HolderOfKey(stage.member, kLargeKey)->Hang();
+  stage.member.Receiver(kLargeKey)->Hang();
   stage.Until([&] { return counters.values_cut == 1; });
   client.Send(Get("2000", "c=read,d=1900"));
   stage.Until([&] { return client.Receive().closed; });
@@ -175,11 +167,11 @@
   End& client = stage.Client(Get(late_key, "c=read,d=1900") + kShortLargeGet + Get("2000", "c=read,d=1900"));
   auto from = std::chrono::steady_clock::now();
   stage.Until([&] { return std::chrono::steady_clock::now() - from > std::chrono::milliseconds(1300); });
-  HolderOfKey(stage.member, late_key)->Say(Value("late"));
+  stage.member.Receiver(late_key)->Say(Value("late"));
   stage.Until([&] { return client.got == Bulk("late"); });
   stage.Rest();
   CHECK(client.got == Bulk("late"));
-  HolderOfKey(stage.member, kLargeKey)->Reset();
+  stage.member.Receiver(kLargeKey)->Reset();
   stage.Until([&] { return client.got.ends_with(Bulk("small")) || client.closed; });
   CHECK(!client.closed);
   CHECK(stage.router.counters().values_cut == 0);
--- a/tests/net/stage.h
+++ b/tests/net/stage.h
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <list>
@@ -125,6 +126,13 @@
     return count;
   }
 
+  // The first connection on which this came; null: none.
+  End* Receiver(std::string_view word) {
+    auto at =
+        std::ranges::find_if(ends, [&](const End& end) { return end.got.find(word) != std::string::npos; });
+    return at == ends.end() ? nullptr : &*at;
+  }
+
   int port = 0;
   std::list<End> ends;
 
