Serve no second copy of an answer to another request

Cache servers that write an answer again, 15 to 750 ms late, had the copy read as the answer to whatever was asked next on the connection.

Cause: neither RESP nor HTTP names the request in an answer, and a connection was used again after a rest of 10 ms (100 ms once the server was known for it): any later copy was taken for the next answer. MemberConnection::Read took the first whole answer unconditionally.

Change: each connection remembers the answers that it carried, by hash, for 30 s, and carries at most 256. An answer that equals an earlier one may be a copy: the server is asked SELECT, whose +OK comes behind all answers to what was written before. One answer before it is the request's; of several the one that equals no earlier one. Without that reply nothing is taken, and the server's connections carry one request each until it starts anew. Large values are told apart by their length. The origin has no such command: what may be a copy is not served, and writes whose receipts are alike go out on new connections.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -46,6 +46,8 @@
   }
   add("member_malformed", counters.member_malformed);
   add("closed_as_stray", counters.closed_as_stray);
+  add("answers_verified", counters.answers_verified);
+  add("answers_unverified", counters.answers_unverified);
   add("watches", counters.watches);
   add("watch_failures", counters.watch_failures);
   add("server_list_changes", counters.server_list_changes);
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -29,6 +29,7 @@
   std::uint64_t not_sent_no_socket = 0, undelivered = 0, answer_waits = 0;
   std::array<std::uint64_t, 9> outcomes{};  // indexed by Result
   std::uint64_t member_malformed = 0, closed_as_stray = 0;
+  std::uint64_t answers_verified = 0, answers_unverified = 0;
   // Discovery and configuration reloads.
   std::uint64_t watches = 0, watch_failures = 0, server_list_changes = 0;
   std::uint64_t reloads = 0, reloads_refused = 0;
--- a/src/member/member_codec.cpp
+++ b/src/member/member_codec.cpp
@@ -1,4 +1,6 @@
 // RESP to and from the pool members that cache.
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "member/server_codec.h"
@@ -20,6 +22,14 @@
   return word == "pending" ? CacheStatus::kMissFetching : CacheStatus::kNone;
 }
 
+// Answers of another kind have other fingerprints, whatever their text.
+enum class Kind : std::uint64_t { kValue = 1, kMiss, kError };
+std::uint64_t Fingerprint(Kind kind, std::string_view text) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), static_cast<std::uint64_t>(kind));
+}
+
+constexpr std::string_view kFence = "*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n";
+
 class MemberCodec : public ServerCodec {
  public:
   void Encode(const Request& request, Duration left, evbuffer* out) override {
@@ -27,6 +37,7 @@
     value_ = NewBuffer();
     length_ = left_ = 0;
     reusable_ = true;
+    fenced_ = false;
     evbuffer_add_printf(out, "*%d\r\n", request.write ? 5 : 4);
     AppendBulk(out, request.command);
     AppendBulk(out, request.key);
@@ -39,6 +50,14 @@
     }
   }
 
+  bool has_fence() const override { return true; }
+  bool EncodeFence(evbuffer* out) override {
+    Append(out, kFence);
+    fenced_ = true;
+    parser_.Reset();
+    return true;
+  }
+
   std::optional<FlowReply> Read(evbuffer* in) override {
     if (left_ > 0 && !TakeBody(in)) return std::nullopt;
     std::string_view text = Contents(in);
@@ -57,10 +76,13 @@
     const resp::Message& message = parser_.message();
     FlowReply reply;
     std::size_t drained = 0;
-    if (message.type == resp::Type::kError) {
+    if (fenced_ && IsFence(message, text)) {
+      reply.fence = true;
+    } else if (message.type == resp::Type::kError) {
       std::string_view error = message.items[0].In(text);
       bool busy = error == "BUSY" || error.starts_with("BUSY ");
       reply.result = busy ? Result::kFull : Result::kBad;
+      reply.fingerprint = Fingerprint(Kind::kError, error);
       if (!busy && error != "ERR" && !error.starts_with("ERR ")) {
         reusable_ = false;
         reply.complaint = "an error that the protocol does not name";
@@ -70,7 +92,10 @@
       reply.load = ParseLoadReport(message.items[2].In(text));
       resp::Slice value = message.items[0];
       reply.result = value.null ? Result::kMiss : Result::kGood;
-      if (length_ > 0) {
+      reply.fingerprint = Fingerprint(value.null ? Kind::kMiss : Kind::kValue, value.In(text));
+      reply.large = length_ > 0;
+      if (reply.large) {
+        reply.fingerprint = length_;
         reply.value = std::move(value_);
         length_ = 0;
       } else if (!value.null) {
@@ -83,6 +108,7 @@
       return Malformed("neither an array of three nor an error");
     }
     evbuffer_drain(in, message.size - drained);
+    if (fenced_) parser_.Reset();  // another may follow
     return reply;
   }
 
@@ -99,6 +125,13 @@
   std::size_t MostHeld() const override { return length_ + resp::kMaxMessage; }
 
  private:
+  // Servers answer a command that they do not know with an error of its own text.
+  static bool IsFence(const resp::Message& message, std::string_view text) {
+    if (message.type == resp::Type::kSimple) return true;
+    if (message.type != resp::Type::kError) return false;
+    std::string_view error = message.items[0].In(text);
+    return error.starts_with("ERR ") && error != "ERR failed";
+  }
   // Whether the body has come whole.
   bool TakeBody(evbuffer* in) {
     std::size_t take = std::min(left_, evbuffer_get_length(in));
@@ -122,6 +155,7 @@
   BufferPtr value_ = NewBuffer();      // of a large value: what has come and was not passed on
   std::size_t length_ = 0, left_ = 0;  // of a large value: its length, and what has not come
   bool reusable_ = true;
+  bool fenced_ = false;  // the reply to a fence is to come
 };
 
 }  // namespace
--- a/src/member/member_connection.cpp
+++ b/src/member/member_connection.cpp
@@ -11,6 +11,7 @@
 namespace peatbend::net {
 namespace {
 constexpr std::size_t kMostUnread = 128 * 1024;  // bytes read ahead of what is taken
+constexpr std::size_t kMostCandidates = 4;       // answers to one request, before it is given up
 }  // namespace
 
 MemberConnection::MemberConnection(MemberConnections& home, Member& member,
@@ -106,6 +107,7 @@
 }
 
 void MemberConnection::Abandon() {
+  if (!candidates_.empty()) GiveUpVerification();
   attempt_ = nullptr;
   home_.Close(*this);
 }
@@ -121,9 +123,84 @@
   auto reply = codec_->Read(bufferevent_get_input(socket_.get()));
   if ((!reply || passing_value_) && !PassOn(reply ? reply->value.get() : nullptr)) return;
   if (!reply) return ReserveHeld();
+  bool may_be_copy = MayBeCopy(*reply);
+  if (candidates_.empty() && may_be_copy && TakesAsCopy(*reply)) return Finish(std::move(*reply), false);
+  if (!candidates_.empty() || may_be_copy) return Verify(std::move(*reply));
+  Complete(std::move(*reply));
+}
+
+bool MemberConnection::MayBeCopy(const FlowReply& reply) const {
+  return !reply.large && reply.complaint.empty() && answers_.Contains(reply.fingerprint, home_.clock_.Now());
+}
+
+// Without a fence: what is neither served nor says that a write never ran does no harm, whosesoever it is.
+// Its connection carries nothing more.
+bool MemberConnection::TakesAsCopy(const FlowReply& reply) const {
+  auto cls = static_cast<std::size_t>(request_->cls);
+  bool safe = home_.settings_.classes[cls].effect == Effect::kSafe;
+  return !codec_->has_fence() && safe && reply.result != Result::kGood;
+}
+
+// Large values are told apart by their length alone: they are passed on before they are whole. One of the
+// same length as an earlier one on the connection is not taken, and from then on each is its connection's
+// last.
+bool MemberConnection::RepeatsLargeValue() {
+  std::optional<std::size_t> length = codec_->Streams();
+  if (!length || !answers_.Contains(*length, home_.clock_.Now())) return false;
+  member_.lengths_repeat = true;
+  home_.log_.Line("answer repeated",
+                  member_.name + ": a large value as long as one before on the connection");
+  return true;
+}
+
+// The answer is the same as an earlier one on the connection, and may be a copy of that one. Asks the server
+// for a fence: its reply comes behind all answers to what was written before. Without a fence nothing that
+// may be another request's is taken.
+void MemberConnection::Verify(FlowReply reply) {
+  if (reply.fence) return EndVerification();
+  if (!reply.complaint.empty() || reply.large) return Break();
+  if (reply.value) reply.memory = answer_memory_.Take(evbuffer_get_length(reply.value.get()));
+  candidates_.push_back(std::move(reply));
+  if (candidates_.size() > kMostCandidates) return Break();
+  if (candidates_.size() == 1) {
+    BufferPtr fence = NewBuffer();
+    if (!codec_->EncodeFence(fence.get())) return Break();
+    ++home_.counters_.answers_verified;
+    WriteNow(socket_.get(), fence.get());
+  }
+  if (evbuffer_get_length(bufferevent_get_input(socket_.get())) > 0) Read();
+}
+
+// Of several answers the one that is no copy is the request's.
+void MemberConnection::EndVerification() {
+  std::vector<FlowReply> candidates = std::exchange(candidates_, {});
+  auto copies =
+      std::ranges::partition(candidates, [this](const FlowReply& reply) { return !MayBeCopy(reply); });
+  std::size_t others = candidates.size() - copies.size();
+  if (candidates.size() > 1) NoteUnsolicitedBytes();
+  if (candidates.size() > 1 && others != 1) return Break();
+  Complete(std::move(candidates.front()));
+}
+
+// From now on no answer of this server can be a copy of another request's.
+void MemberConnection::GiveUpVerification() {
+  ++home_.counters_.answers_unverified;
+  if (!std::exchange(member_.single_use, true))
+    home_.log_.Line("answers unverified",
+                    member_.name + " may have answered twice: one request a connection");
+}
+
+void MemberConnection::Complete(FlowReply reply) {
+  if (request_->write && reply.result == Result::kGood) {
+    member_.receipts_repeat |= member_.last_receipt == reply.fingerprint;
+    member_.last_receipt = reply.fingerprint;
+  }
+  answers_.Add(reply.fingerprint, home_.clock_.Now());
   bool more = evbuffer_get_length(bufferevent_get_input(socket_.get())) > 0;
   if (more) NoteUnsolicitedBytes();
-  Finish(std::move(*reply), codec_->reusable() && delivered() && !more);
+  bool may_carry_more = codec_->reusable() && !(reply.large && member_.lengths_repeat) && !answers_.full() &&
+                        !member_.single_use;
+  Finish(std::move(reply), may_carry_more && delivered() && !more);
 }
 
 // Reserves memory for what is held of an answer that is passed on once it is whole. Without room for more of
@@ -152,6 +229,7 @@
 bool MemberConnection::PassOn(evbuffer* last) {
   if (!passing_value_) {
     if (!codec_->Streams()) return true;
+    if (RepeatsLargeValue()) return Break(), false;
     if (!DecideDelivery()) return false;
     if (!passing_value_) return true;
   }
@@ -227,7 +305,8 @@
   }
   if (std::exchange(passing_value_, false)) bufferevent_setwatermark(socket_.get(), EV_READ, 0, 0);
   if (std::exchange(paused_, false)) read_pause_->Resume();
-  if (reply.value) reply.memory = answer_memory_.Take(evbuffer_get_length(reply.value.get()));
+  if (reply.value && reply.memory.size() == 0)
+    reply.memory = answer_memory_.Take(evbuffer_get_length(reply.value.get()));
   answer_memory_.Reset();
   Attempt* attempt = std::exchange(attempt_, nullptr);
   keep ? home_.Idle(*this) : home_.Close(*this);
@@ -280,6 +359,7 @@
 }
 
 void MemberConnection::Break() {
+  if (!candidates_.empty()) GiveUpVerification();
   bool sent = attempt_ != nullptr && written();
   Attempt* attempt = std::exchange(attempt_, nullptr);
   home_.Close(*this);
--- a/src/member/member_connections.cpp
+++ b/src/member/member_connections.cpp
@@ -36,7 +36,10 @@
     // list's.
     bool other_process = moved || entry.entry.started > member.started;
     if (other_process || entry.entry.state != ServerState::kReady) Outdate(member);
-    if (other_process) member.unsolicited_bytes = false;
+    if (other_process) {
+      member.unsolicited_bytes = member.single_use = false;
+      member.lengths_repeat = member.receipts_repeat = false;
+    }
     member.started = std::max(member.started, entry.entry.started);
   }
   for (auto& [name, member] : members_) BoundBegins(member);
@@ -72,7 +75,7 @@
   MemberConnection* connection = nullptr;
   ++counters_.attempts;
   if (member.origin) ++counters_.attempts_to_origin;
-  if ((connection = TakeIdle(member)) != nullptr) {
+  if ((connection = TakeIdle(member, request)) != nullptr) {
     ++counters_.reused;
   } else {
     if (!MakeRoom()) {
@@ -101,7 +104,10 @@
 // The connection used last that has rested. Guards against bytes that belong to no answer (a second copy of
 // the last one, noise): they would be read as the answer to the next request. One on which any have come is
 // closed.
-MemberConnection* MemberConnections::TakeIdle(Member& member) {
+MemberConnection* MemberConnections::TakeIdle(Member& member, const Request& request) {
+  // Without a fence the receipt could not be told from that of an earlier write.
+  bool fresh = member.single_use || (member.origin && request.write && member.receipts_repeat);
+  if (fresh) return nullptr;
   TimePoint rested = clock_.Now() - SettleTime(member);
   for (std::size_t i = member.idle.size(); i-- > 0;) {
     MemberConnection* connection = member.idle[i];
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -19,6 +19,7 @@
 #include "base/socket_peek.h"
 #include "base/tuning.h"
 #include "discovery/server_list.h"
+#include "member/answer_history.h"
 #include "member/answer_memory.h"
 #include "member/attempt.h"
 #include "member/server_codec.h"
@@ -81,6 +82,13 @@
   void ReserveHeld();
   void ReadOn();
   void Happened(short what);
+  bool MayBeCopy(const FlowReply& reply) const;
+  void Verify(FlowReply reply);
+  void EndVerification();
+  void GiveUpVerification();
+  bool RepeatsLargeValue();
+  bool TakesAsCopy(const FlowReply& reply) const;
+  void Complete(FlowReply reply);
   void Finish(FlowReply reply, bool keep);
   void Break();
   void OutOfTime();
@@ -105,6 +113,9 @@
   bool outdated_ = false;  // the member has moved or started anew since it was dialled: ends with its attempt
   TimePoint idle_since_{};
   AnswerReservation answer_memory_;
+  AnswerHistory answers_;  // that came on it
+  // Answers to the attempt while one may be a copy of an earlier request's: until the fence's reply.
+  std::vector<FlowReply> candidates_;
   std::list<std::unique_ptr<MemberConnection>>::iterator self_;
   Timer timer_;  // dialling: not up in time; sending: not delivered in time; idle: to be closed
   BuffereventPtr socket_;
@@ -117,7 +128,11 @@
   int to_size = 0;
   TimePoint started{};  // its process, as listed
   bool origin = false, gone = false, draining = false;
-  bool unsolicited_bytes = false;            // its process has sent some that answer no request
+  bool unsolicited_bytes = false;  // its process has sent some that answer no request
+  bool single_use = false;         // its process answers no fence: a connection carries one request
+  bool lengths_repeat = false;     // large values had the same length: each is the last on its connection
+  std::uint64_t last_receipt{};    // fingerprint of its last answer to a write
+  bool receipts_repeat = false;    // its answers to writes are alike
   TimePoint begin_until = TimePoint::max();  // no attempt begins later: it drains, or has gone
   std::list<std::unique_ptr<MemberConnection>> connections;
   std::vector<MemberConnection*> idle;  // the last used last
@@ -145,7 +160,7 @@
   void Idle(MemberConnection& connection);
   Duration SettleTime(const Member& member) const;
   bool MakeRoom();
-  MemberConnection* TakeIdle(Member& member);
+  MemberConnection* TakeIdle(Member& member, const Request& request);
   void BoundBegins(Member& member);
   void DropIfGone(Member& member);
 
--- a/src/member/origin.cpp
+++ b/src/member/origin.cpp
@@ -1,4 +1,8 @@
 // HTTP to and from the origin.
+#include <xxhash.h>
+
+#include <algorithm>
+
 #include "member/server_codec.h"
 #include "protocol/facts.h"
 #include "protocol/http1.h"
@@ -65,8 +69,18 @@
   }
 
  private:
+  std::uint64_t Fingerprint() const {
+    evbuffer* body = reader_->body();
+    std::size_t size = std::min(evbuffer_get_length(body), resp::kMaxValue);
+    std::string text(size, '\0');
+    evbuffer_copyout(body, text.data(), size);
+    return XXH3_64bits_withSeed(text.data(), size, static_cast<std::uint64_t>(reader_->status()));
+  }
   FlowReply Reply() {
     FlowReply reply;
+    reply.fingerprint = Fingerprint();
+    reply.large = reader_->length().value_or(0) > resp::kMaxValue;
+    if (reply.large) reply.fingerprint = *reader_->length();
     reply.load = ParseLoadReport(reader_->Header("x-backend-load"));
     int status = reader_->status();
     if (status == 200) {
