Count a server's warm-up by the router's clock where the wall clock stepped

Cause: a start in the list is wall-clock time, and the router reads the wall clock once. If that clock is an hour off at the router's start, a server that starts later looks an hour old, and is sent its whole load cold; or an hour young, and gets little for an hour.

Change: no start is in the future, and once discovery is heard a start that it tells is at most 10 s old. Starts as such are compared as before.

--- a/src/module/balancer_impl.h
+++ b/src/module/balancer_impl.h
@@ -90,8 +90,9 @@
     bool origin = false;
     int cell = 0, zone = 0;
     double weight = 1;
-    TimePoint started{};   // latest start that was announced
-    TimePoint replaced{};  // when this process was announced, if it replaced another one
+    TimePoint started{};     // latest start that was announced
+    TimePoint warms_from{};  // that start by this router's clock
+    TimePoint replaced{};    // when this process was announced, if it replaced another one
     // What this router has observed.
     int in_flight = 0;  // includes attempts that went to the previous process and have not ended
     double in_flight_limit = 1;
@@ -148,6 +149,7 @@
 
   void On(const MembershipEvent& event);
   void ApplyEntry(const ServerEntry& entry);
+  TimePoint WarmsFrom(TimePoint started) const;
   void UpdateSubscription(Scope scope);
   void RemoveGoneServers() {
     std::erase_if(by_id_, [this](const auto& entry) {
@@ -209,9 +211,10 @@
   // The fraction of its capacity that a cache server has at least: the slowest warm-up allowed, linear from
   // start_capacity to 1 at warm_after. The same at every router. The origin has no warm-up.
   double WarmFraction(const Server& server) const {
-    bool long_ago = server.started == TimePoint{} || now_ - server.started >= settings_.warm_after;
+    bool long_ago = server.started == TimePoint{} || now_ - server.warms_from >= settings_.warm_after;
     if (server.origin || long_ago) return 1;
-    double share = std::max(0.0, ToNanoseconds(now_ - server.started) / ToNanoseconds(settings_.warm_after));
+    double share =
+        std::max(0.0, ToNanoseconds(now_ - server.warms_from) / ToNanoseconds(settings_.warm_after));
     return settings_.start_capacity + (1 - settings_.start_capacity) * share;
   }
 
@@ -342,7 +345,8 @@
   int trial_server_ = -1;             // the next eligible request is its trial
   std::vector<std::uint16_t> table_;  // slot -> index of a ready cache server
   bool table_stale_ = true;
-  bool discovery_lost_ = false;  // discovery failed when last asked
+  bool discovery_lost_ = false;   // discovery failed when last asked
+  bool discovery_heard_ = false;  // a list has come from it, not from before the start
 
   std::unordered_map<RequestId, Request> requests_;  // never iterated: its order is unspecified
   std::map<Key, FetchWaiters> fetches_;  // keys being fetched, and the requests that wait for them
--- a/src/module/health.cpp
+++ b/src/module/health.cpp
@@ -36,7 +36,7 @@
       due_rate * WarmFraction(server) * kColdRateShare * std::max(1.0, settings_.overload_multiple) / 1e9;
   double due_sends = rate * ToNanoseconds(settings_.overload_duration);
   double max_sends = std::max(1.0, kColdBurstShare * due_sends);
-  double saved_sends = std::min(max_sends, rate * ToNanoseconds(now_ - server.started));
+  double saved_sends = std::min(max_sends, rate * ToNanoseconds(now_ - server.warms_from));
   if (!MayUseColdServer(server, due_sends, saved_sends)) return 0;
   return std::min(max_sends, server.cold_tokens + rate * ToNanoseconds(now_ - server.cold_tokens_at));
 }
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -10,6 +10,8 @@
 // bounds.
 constexpr Duration kSubscribeSpacing = 4ms, kMaxSubscribeSpread = 2s;
 constexpr Duration kMinSubscribeBackoff = 400ms, kMaxSubscribeBackoff = 1500ms;
+// After which the start of a process has been told, while discovery is heard.
+constexpr Duration kMostToldLate = 10s;
 
 void Balancer::Impl::On(const MembershipEvent& event) {
   if (settings_.must_subscribe) UpdateSubscription(event.scope);
@@ -18,6 +20,7 @@
     for (Server& server : servers_) server.state = ServerState::kGone;
   }
   for (const ServerEntry& entry : event.entries) ApplyEntry(entry);
+  discovery_heard_ |= event.scope != Scope::kCached;
   table_stale_ |= event.scope != Scope::kDelta || !event.entries.empty();  // rebuilt when a request needs it
   for (std::size_t i = 0; i < servers_.size(); ++i) {  // waiting for a server that is not ready now
     while (servers_[i].state != ServerState::kReady && !servers_[i].queue.empty())
@@ -26,6 +29,13 @@
   RemoveGoneServers();
 }
 
+// When the warm-up of a process counts from. The list has the wall clock's time, which may have stepped since
+// this router read it: none starts in the future, and once discovery is heard a start is told soon.
+TimePoint Balancer::Impl::WarmsFrom(TimePoint started) const {
+  if (started == TimePoint{} || !discovery_heard_) return std::min(started, now_);
+  return std::clamp(started, now_ - kMostToldLate, now_);
+}
+
 void Balancer::Impl::ApplyEntry(const ServerEntry& entry) {
   auto [at, inserted] = by_id_.try_emplace(entry.id.name, 0);
   if (inserted) {
@@ -44,6 +54,7 @@
     server = Server{.id = entry.id.name,
                     .origin = origin,
                     .started = entry.started,
+                    .warms_from = WarmsFrom(entry.started),
                     .replaced = inserted ? TimePoint{} : now_,
                     .in_flight = server.in_flight,
                     .in_flight_limit =
