Book clients' values, requests and owed answers before they are taken

Cause of the memory: a command of up to 64 KiB was read whole and only then booked, beyond the budget; the buffer it grew in takes up to twice its bytes. Open requests and answers behind others were booked nowhere. Cause of the hanging: writers that wait for memory leave bytes unread, so that they could not be closed for others; new connections were taken one each 20 ms, or one a turn of the loop.

Change: the mechanism of large values serves all over 4 KiB. A value waits for memory in order, for 0.47 of its client's time (DecideRoom, in the module), then gets -BUSY at once and is dropped as it comes. Heads, requests and owed answers are booked; a request without room is rejected by the module. Stalled commands make room for those that wait. In a crowd waiting writers are refused before a client that is served is closed, and after 250 ms without room new connections are closed unread, all at once. Both faults are in one commit since the second shows only with the first mended.

--- a/include/peatbend/balancer.h
+++ b/include/peatbend/balancer.h
@@ -160,6 +160,7 @@
   Duration remaining{};  // until the client gives up this try
   QuotaVerdict quota_verdict = QuotaVerdict::kWithin;
   Duration retry_after{};  // kReject: when a retry may be within the quota
+  bool no_memory = false;  // the router has none for the request
 };
 
 // How an attempt ended: answered; answered with an error; turned away by a server at capacity; timed out; no
@@ -303,6 +304,20 @@
 // What becomes of the next command of a client.
 CommandDecision DecideCommand(const PipelineFacts& facts);
 
+// A client's value has begun to arrive, and there is no memory for it.
+struct RoomFacts {
+  Duration waited{};  // that it has waited for memory
+  Duration limit{};   // that its client waits for an answer in total
+  bool ends = false;  // its connection is about to end
+};
+enum class RoomDecision {
+  kWait,    // leave the value unread until there is memory
+  kRefuse,  // answer now, and drop the value as it comes
+};
+RoomDecision DecideRoom(const RoomFacts& facts);
+// After which a request that was refused for want of memory may be sent again.
+inline constexpr Duration kRoomRetryAfter = std::chrono::milliseconds(100);
+
 // ---- The balancer -------------------------------------------------------------------------------
 
 // Builds a Maglev table: slot -> index into sorted_ids. slots_per_round: how many slots each server claims in
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -19,6 +19,7 @@
   std::size_t most_in_use = 0;                     // the highest that in_use has been
   std::array<std::size_t, kMemoryUses> by_use{};   // parts of in_use
   std::function<void()> on_freed;                  // called when more is free than before, if set
+  std::function<void()> on_freed_for_requests;     // the same
   std::size_t free() const { return max - std::min(max, in_use); }
   std::size_t used_by(MemoryUse use) const { return by_use[static_cast<std::size_t>(use)]; }
   void SetMax(std::size_t bytes) {
@@ -29,6 +30,7 @@
   // Whoever waits for memory looks again.
   void Recheck() const {
     if (on_freed) on_freed();
+    if (on_freed_for_requests) on_freed_for_requests();
   }
 };
 
@@ -67,6 +69,11 @@
     Set(size);
     return true;
   }
+  // As Try, for a client's value: a part of the budget is left to answers.
+  bool TryValue(std::size_t size) {
+    bool others = budget_->in_use > size_;
+    return others ? TryWithin(size, budget_->max - budget_->max / kAnswersDivisor) : Try(size);
+  }
   // Changes the reservation to `size` bytes if no more than `most_in_use` of the budget is in use then.
   bool TryWithin(std::size_t size, std::size_t most_in_use) {
     if (budget_->in_use - size_ + size > most_in_use) return false;
@@ -75,6 +82,7 @@
   }
 
  private:
+  static constexpr std::size_t kAnswersDivisor = 8;
   MemoryBudget* budget_ = nullptr;
   MemoryUse use_ = MemoryUse::kRequests;
   std::size_t size_ = 0;
--- a/src/front/answer_queue.cpp
+++ b/src/front/answer_queue.cpp
@@ -19,6 +19,12 @@
   Append(entry.answer.get(), answer);
 }
 
+void AnswerQueue::AddRejection(Duration come_back) {
+  Entry& entry = entries_.emplace_back();
+  entry.answer = NewBuffer();
+  AppendRejected(entry.answer.get(), come_back);
+}
+
 void AnswerQueue::Serve(std::uint64_t place, evbuffer* value) {
   Answer(place);
   AppendServed(At(place).answer.get(), value);
--- a/src/front/answer_queue.h
+++ b/src/front/answer_queue.h
@@ -27,6 +27,8 @@
   void AddRequest(RequestId id);
   // The next command is answered at once.
   void AddAnswer(std::string_view answer);
+  // The next command is refused at once.
+  void AddRejection(Duration come_back);
 
   void Serve(std::uint64_t place, evbuffer* value);
   void Reject(std::uint64_t place, Duration come_back);
--- a/src/front/client_command.h
+++ b/src/front/client_command.h
@@ -11,8 +11,8 @@
 namespace peatbend::net {
 
 struct ClientCommand {
-  enum class Kind { kRequest, kPing, kPolite, kQuit, kUnknown, kUnknownClass, kMalformed };
-  Kind kind = Kind::kUnknown;
+  enum class Kind { kRequest, kPing, kPolite, kQuit, kUnknown, kUnknownClass, kMalformed, kRefused };
+  Kind kind = Kind::kUnknown;        // kRefused: was answered before its value had come
   std::unique_ptr<Request> request;  // kRequest
   std::string_view complaint;        // kMalformed
 };
--- a/src/front/client_session.cpp
+++ b/src/front/client_session.cpp
@@ -14,10 +14,8 @@
 constexpr std::size_t kFreeAhead = 8;  // answers that a client may run ahead, memory or not
 // Commands longer than this are taken one at a time from a client where there is no memory for them.
 constexpr std::size_t kLongCommand = 4 * 1024;
-constexpr std::size_t kUnbookedCommand = 1024;  // bytes
-constexpr std::size_t kMostMoved = 32 * 1024;   // bytes of a begun command that move to another process
-constexpr Milliseconds kRoomWithin{5000};  // for a large value from a client: waiting for memory, at most
-constexpr Milliseconds kLastLinger{300};   // after a last call, for a client to see the end
+constexpr std::size_t kMostMoved = 32 * 1024;  // bytes of a begun command that move to another process
+constexpr Milliseconds kLastLinger{300};       // after a last call, for a client to see the end
 }  // namespace
 
 ClientSession::ClientSession(SessionHome& home, event_base* base, evutil_socket_t socket,
@@ -33,6 +31,8 @@
       connected_(clock.Now()),
       quiet_since_(connected_),
       memory_(home.memory(), MemoryUse::kUnsentAnswers),
+      head_memory_(home.memory(), MemoryUse::kRequests),
+      owed_memory_(home.command_memory(), MemoryUse::kQueuedAnswers),
       queued_memory_(home.memory(), MemoryUse::kQueuedAnswers),
       socket_(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE)) {
   int yes = 1;
@@ -45,6 +45,7 @@
 }
 
 ClientSession::~ClientSession() {
+  home_.StopWaiting(*this);
   home_.Unread(unread_, 0);
   for (RequestId id : owed_.Unanswered()) decision_.ClientLeft(id);
 }
@@ -61,6 +62,8 @@
   // Nor does a client who reads nothing run ahead by more than there is memory for.
   std::size_t free = home_.memory().free();
   bool dear = owed_.size() >= kFreeAhead && owed_.size() * resp::kMaxValue > free;
+  const MemoryBudget& commands = home_.command_memory();
+  dear |= owed_.size() >= kFreeAhead && commands.in_use > commands.max / 2;
   // Nor one who sends long commands.
   std::size_t next = evbuffer_get_length(bufferevent_get_input(socket_.get()));
   dear |= !owed_.empty() && next > std::max(free, kLongCommand);
@@ -93,6 +96,7 @@
     evbuffer_drain(in, evbuffer_get_length(in));
     return;
   }
+  last_byte_ = clock_.Now();
   while (evbuffer_get_length(in) > 0 && !closing_) {
     if (body_ && !TakeBody(in)) break;
     if (body_ && evbuffer_get_length(in) == 0) break;
@@ -102,6 +106,7 @@
     }
     if (!TakeCommand(Contents(in))) break;
   }
+  if (!closing_ && !HeadFits()) Malformed("too much at once");
   if (last_call_ && !closing_ && !Crowded()) TakeNoMore();
   bool half = (body_ || evbuffer_get_length(in) > 0) && !closing_ && !Crowded();
   if (!half) begun_ = TimePoint::max();
@@ -111,61 +116,6 @@
   if (last_call_ && closing_ && all_written() && turned_away_ == TimePoint::max()) Written();
 }
 
-void ClientSession::Account() {
-  std::size_t now = half_sent() ? evbuffer_get_length(bufferevent_get_input(socket_.get())) : 0;
-  home_.Unread(std::exchange(unread_, now), now);
-}
-
-// The command that the parser has read; the value of one that came as a body is there already.
-ClientCommand ClientSession::ReadWhole(std::string_view buffer) {
-  if (!body_) return ReadCommand(parser_.message(), buffer, settings_);
-  ClientCommand command{ClientCommand::Kind::kRequest, std::move(body_->request), {}};
-  body_.reset();
-  return command;
-}
-
-// A large value comes next. What stands before it is read now, so that a command that cannot be used is told
-// before its value has come. True if the rest may be read on.
-bool ClientSession::BeginBody(std::string_view buffer) {
-  resp::Message message = parser_.message();
-  message.items.push_back({});
-  message.size = parser_.head_size();
-  ClientCommand command = ReadCommand(message, buffer, settings_);
-  if (command.kind != ClientCommand::Kind::kRequest) {
-    bool malformed = command.kind == ClientCommand::Kind::kMalformed;
-    return Malformed(malformed ? command.complaint : "a value that does not belong to the command"), false;
-  }
-  MemoryReservation memory(home_.memory(), MemoryUse::kRequests);
-  if (!memory.Try(parser_.body_size())) {  // not read till others are done with theirs
-    waits_for_room_ = true;
-    read_pause_.Pause();
-    return false;
-  }
-  body_.emplace(Body{std::move(command.request), parser_.body_size()});
-  body_->request->memory = std::move(memory);
-  body_->request->body = NewBuffer();
-  evbuffer_drain(bufferevent_get_input(socket_.get()), parser_.head_size());
-  return true;
-}
-
-// Moves what has come of the value; false if more of it is to come.
-bool ClientSession::TakeBody(evbuffer* in) {
-  if (body_->left > 0) {
-    std::size_t take = std::min(body_->left, evbuffer_get_length(in));
-    MoveCompact(in, body_->request->body.get(), take);
-    body_->left -= take;
-    if (body_->left > 0) return false;
-    parser_.BodyConsumed();
-  }
-  return true;
-}
-
-void ClientSession::TryAgain() {
-  if (last_call_ || !std::exchange(waits_for_room_, false)) return;
-  read_pause_.Resume();
-  Read();
-}
-
 // False if there is no whole command.
 bool ClientSession::TakeCommand(std::string_view buffer) {
   if (!body_ && buffer[0] != '*') return Malformed("expected an array"), false;
@@ -211,6 +161,8 @@
     case Kind::kPolite:
       Say("+OK\r\n");
       break;
+    case Kind::kRefused:
+      break;
     case Kind::kQuit:
       closing_ = true;
       Say("+OK\r\n");
@@ -229,14 +181,6 @@
   return true;
 }
 
-// A command that came whole is kept with its value until the request has ended.
-void ClientSession::BookText(Request& request) {
-  if (request.body) return;  // booked as it came
-  if (request.text.size() <= kUnbookedCommand) return;
-  request.memory = MemoryReservation(home_.memory(), MemoryUse::kRequests);
-  request.memory.Set(request.text.size());
-}
-
 // One -ERR, after the answers owed, and the end: what follows in the stream cannot be told apart.
 void ClientSession::Malformed(std::string_view complaint) {
   ++counters_.client_malformed;
@@ -244,7 +188,7 @@
   closing_ = true;
   begun_ = TimePoint::max();
   body_.reset();
-  waits_for_room_ = false;
+  EndWait();
   evbuffer* in = bufferevent_get_input(socket_.get());
   evbuffer_drain(in, evbuffer_get_length(in));
   if (!last_call_) read_pause_.Resume();
@@ -258,10 +202,11 @@
 TimePoint ClientSession::due() const {
   if (turned_away_ != TimePoint::max()) return turned_away_ + Linger();
   if (closing_) return TimePoint::max();
-  if (!asked_) return connected_ + tuning_.first_command;
-  if (half_sent()) {  // a large value is given time by what has come of it
-    auto got = body_ ? evbuffer_get_length(body_->request->body.get()) : 0;
-    return begun_ + tuning_.command + (waits_for_room_ ? kRoomWithin : TimeAtLeastRate(got));
+  if (!asked_ && !waits_for_room_) return connected_ + tuning_.first_command;
+  if (half_sent()) {                               // a large value is given time by what has come of it
+    if (waits_for_room_) return TimePoint::max();  // the wait is bounded by itself
+    TimePoint whole = begun_ + TimeAtLeastRate(body_ ? body_->size - body_->left : 0);
+    return std::min(whole, std::max(begun_, last_byte_)) + tuning_.command;
   }
   return idle() ? quiet_since_ + tuning_.idle : TimePoint::max();
 }
@@ -289,6 +234,8 @@
   Leave();
 }
 
+bool ClientSession::has_unread() const { return HasUnread(bufferevent_getfd(socket_.get())); }
+
 bool ClientSession::closes_cleanly() const {
   evutil_socket_t socket = bufferevent_getfd(socket_.get());
   if (HasUnacknowledged(socket)) return false;
@@ -305,6 +252,7 @@
 ClientSession::Spare ClientSession::spare() const {
   if (turned_away_ != TimePoint::max()) return Spare::kTurnedAway;
   if (idle()) return requests_ > 1 ? Spare::kIdle : requests_ == 1 ? Spare::kAskedOnce : Spare::kSilent;
+  if (body_ && !body_->request && all_written()) return Spare::kRefused;
   return half_sent() && owed_.empty() ? Spare::kHalfSent : Spare::kNeeded;
 }
 
@@ -317,7 +265,7 @@
 void ClientSession::LastCall() {
   if (last_call_ || closing_) return;
   last_call_ = true;
-  waits_for_room_ = false;
+  EndWait();
   read_pause_.Pause();
   Read();
 }
@@ -326,17 +274,21 @@
 void ClientSession::TakeNoMore() {
   closing_ = true;
   body_.reset();
-  waits_for_room_ = false;
+  EndWait();
   evbuffer* in = bufferevent_get_input(socket_.get());
   evbuffer_drain(in, evbuffer_get_length(in));
 }
 
 bool ClientSession::may_move() const {
-  return at_rest() && !body_ && evbuffer_get_length(bufferevent_get_input(socket_.get())) <= kMostMoved;
+  if (!at_rest()) return false;
+  if (!body_) return evbuffer_get_length(bufferevent_get_input(socket_.get())) <= kMostMoved;
+  return body_->request && body_->size <= resp::kMaxValue && body_->size - body_->left <= kMostMoved;
 }
 
 evutil_socket_t ClientSession::Release(std::string& begun) {
-  begun.assign(Contents(bufferevent_get_input(socket_.get())));
+  begun.clear();
+  if (body_) begun.append(body_->request->text).append(Contents(body_->request->body.get()));
+  begun.append(Contents(bufferevent_get_input(socket_.get())));
   evutil_socket_t socket = bufferevent_getfd(socket_.get());
   bufferevent_setfd(socket_.get(), -1);
   return socket;
--- a/src/front/client_session.h
+++ b/src/front/client_session.h
@@ -32,7 +32,14 @@
   virtual void End(ClientSession& session) = 0;
   // A session holds so many bytes of a command that is not whole, after so many before.
   virtual void Unread(std::size_t before, std::size_t now) = 0;
+  // Whether a command of so many bytes may begin to come.
+  virtual bool HasRoomForIncomplete(std::size_t bytes) const = 0;
+  // The session waits for memory, or no longer. TryAgain is called once there may be some.
+  virtual void WaitForRoom(ClientSession& session) = 0;
+  virtual void StopWaiting(ClientSession& session) = 0;
   virtual MemoryBudget& memory() = 0;
+  // For requests themselves and for answers that wait, apart from values.
+  virtual MemoryBudget& command_memory() = 0;
   // Nothing is owed on the session, and its connection is not to stay: may destroy it.
   virtual void AtRest(ClientSession& session) = 0;
   virtual const Doors& doors() const = 0;
@@ -75,9 +82,17 @@
   // Requests that it has sent; PING and the like are none.
   std::uint64_t requests() const { return requests_; }
   TimePoint connected() const { return connected_; }
-  // There may be memory for a large value again.
-  void TryAgain();
+  // There may be memory for its value again, or it has waited long enough. False: it waits on.
+  bool TryAgain();
+  // Refuses the request whose value waits for memory.
+  void RefuseWaiting();
   bool waits_for_room() const { return waits_for_room_; }
+  // Has memory for a command that is not whole.
+  bool holds_incomplete() const { return unread_ > 0 || (body_ && body_->request); }
+  // Whether its system has bytes that were not read.
+  bool has_unread() const;
+  // When the last byte of a command that is not whole came.
+  TimePoint last_byte() const { return last_byte_; }
   // At rest, and what has come is small enough to go with it to another process.
   bool may_move() const;
   // Gives up the socket, and what came of a command that is not whole; the session is to be ended then.
@@ -90,7 +105,7 @@
   void Overdue();
   // How readily it is closed to make room, the highest first; kNeeded: not at all. Judged by what it has
   // asked: one that asked only PING is as silent.
-  enum class Spare { kNeeded, kHalfSent, kIdle, kAskedOnce, kSilent, kTurnedAway };
+  enum class Spare { kNeeded, kHalfSent, kIdle, kAskedOnce, kSilent, kRefused, kTurnedAway };
   Spare spare() const;
   TimePoint quiet_since() const { return quiet_since_; }
   bool half_sent() const { return begun_ != TimePoint::max(); }
@@ -117,6 +132,10 @@
   void Read();
   ClientCommand ReadWhole(std::string_view buffer);
   bool BeginBody(std::string_view buffer);
+  bool ReserveBody(MemoryReservation& memory);
+  void RefuseBody();
+  void EndWait();
+  bool HeadFits();
   bool TakeBody(evbuffer* in);
   bool TakeCommand(std::string_view buffer);
   void BookText(Request& request);
@@ -151,14 +170,19 @@
   const Clock& clock_;
   Log& log_;
   Counters& counters_;
-  resp::Parser parser_{kValueItem};
+  // Values longer than this are booked before they are read.
+  static constexpr std::size_t kLongValue = 4 * 1024;
+  resp::Parser parser_{kValueItem, kLongValue};
   struct Body {
-    std::unique_ptr<Request> request;
-    std::size_t left;  // bytes of its value that have not come
+    std::unique_ptr<Request> request;  // null: it was refused, and its value is dropped as it comes
+    std::size_t size, left;            // bytes of its value, and of these what has not come
   };
-  std::optional<Body> body_;     // a large value is coming
-  bool waits_for_room_ = false;  // for memory for one; not read meanwhile
-  bool leaves_unread_ = false;   // what comes behind a large value that is not whole
+  std::optional<Body> body_;                 // a long value is coming
+  bool waits_for_room_ = false;              // for memory for one; not read meanwhile
+  TimePoint room_since_ = TimePoint::max();  // it has waited since; max: it has not
+  bool refuses_waiting_ = false;             // RefuseWaiting is under way
+  TimePoint last_byte_{};
+  bool leaves_unread_ = false;  // what comes behind a large value that is not whole
   AnswerQueue owed_;
   bool closing_ = false;  // no more is taken; ends when all is written
   bool asked_ = false;    // a whole command has come
@@ -172,6 +196,8 @@
   bool last_call_ = false;                      // the socket is not read any more
   std::optional<std::uint64_t> client_;         // its address, hashed, once somebody has asked for it
   MemoryReservation memory_;                    // for answers that have not been taken
+  MemoryReservation head_memory_;               // for a command that is not whole, but for its value
+  MemoryReservation owed_memory_;               // for the answers owed themselves
   MemoryReservation queued_memory_;             // for answers behind one that has not come
   BuffereventPtr socket_;
   ReadPause read_pause_{socket_.get(), [this] { Leave(); }};
--- a/src/front/client_session_answers.cpp
+++ b/src/front/client_session_answers.cpp
@@ -12,6 +12,7 @@
 namespace peatbend::net {
 namespace {
 constexpr std::size_t kLeastUnsent = 32 * 1024, kMostUnsent = 256 * 1024;  // of an answer; the member waits
+constexpr std::size_t kOwedBytes = 1280;  // that an answer owed takes, but for a long one's bytes
 }  // namespace
 
 void ClientSession::Say(std::string_view answer) { owed_.AddAnswer(answer); }
@@ -113,6 +114,7 @@
 
 // Books what the client has not taken, and lets the answer that is next now be read on.
 void ClientSession::BookUnsent() {
+  owed_memory_.Set(owed_.size() * kOwedBytes);
   ReserveUnsent();
   if (!owed_.empty()) home_.memory().Recheck();
 }
--- a/src/front/listener.cpp
+++ b/src/front/listener.cpp
@@ -1,5 +1,6 @@
 #include "front/listener.h"
 
+#include <fmt/format.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -15,6 +16,14 @@
 }
 
 constexpr auto kSweepEvery = std::chrono::milliseconds(100);
+constexpr int kMostInVain = 4;  // waiting sessions that are tried before it is left at that
+// After which a command of which nothing more has come makes room for others.
+constexpr std::chrono::milliseconds kStalled{200};
+// Without room for another client new connections wait so long to be accepted, then are closed unread.
+constexpr std::chrono::milliseconds kNewcomersWait{250};
+constexpr std::size_t kClosedInTurn = 32;  // sessions closed for others, at most, in a turn of the loop
+constexpr std::chrono::milliseconds kCrowdOver{1000};  // without a new connection that found no room
+constexpr std::size_t kRefusedAtOnce = 64;  // of those that wait for memory, to make room for other clients
 // While connections close, counted from then or from connecting: what has asked nothing, what asks without a
 // pause and what is not whole are given so long.
 constexpr std::chrono::milliseconds kSilentAway{600}, kLastCall{1500}, kHalfAway{2400};
@@ -22,8 +31,8 @@
 
 Listener::Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, BalancerDriver& decision,
                    const Settings& settings, const Tuning::Clients& tuning, SocketBudget& sockets,
-                   std::size_t most_unread, MemoryBudget& memory, const Clock& clock, Log& log,
-                   Counters& counters)
+                   std::size_t most_unread, MemoryBudget& memory, MemoryBudget& command_memory,
+                   const Clock& clock, Log& log, Counters& counters)
     : base_(base),
       doors_(doors),
       hand_on_(std::move(hand_on)),
@@ -33,20 +42,26 @@
       sockets_(sockets),
       most_unread_(most_unread),
       memory_(memory),
+      command_memory_(command_memory),
       clock_(clock),
       log_(log),
       counters_(counters),
       stopped_(base, [this] { then_(); }),
       accept_again_(base,
                     [this] {
+                      closed_in_turn_ = 0;
                       if (listener_ && accepting_) evconnlistener_enable(listener_.get());
                     }),
-      sweep_(base, [this] { Sweep(); }) {
+      sweep_(base, [this] { Sweep(); }),
+      grant_(base, [this] { GrantRoom(); }) {
+  memory_.on_freed_for_requests = [this] {
+    if (!waiting_.empty()) grant_.Activate();
+  };
   sweep_.Set(kSweepEvery);
   listener_.reset(evconnlistener_new(
       base,
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-        static_cast<Listener*>(self)->Accepted(socket);
+        static_cast<Listener*>(self)->TakeNewcomer(socket);
       },
       this, LEV_OPT_CLOSE_ON_FREE, 0, socket));
   if (!listener_) throw std::runtime_error("no listener");
@@ -59,6 +74,7 @@
 }
 
 Listener::~Listener() {
+  memory_.on_freed_for_requests = {};
   while (!sessions_.empty()) End(*sessions_.back());
 }
 
@@ -86,14 +102,44 @@
   if (sessions_.size() > Part(sockets_.max, tuning_.share) || sockets_.in_use >= sockets_.max) {
     closed = MakeRoom();
     // What comes waits, so that no crowd takes the members' descriptors.
-    if (!closed) Pause(tuning_.accept_pause);
+    if (!closed) NoRoom();
   }
   if (sessions_.size() > Part(sockets_.configured_max, tuning_.held_share)) closed |= CloseHeld();
   // A closed session's descriptor is free at the end of this turn of the loop, which accepts all that waits.
-  if (closed) Pause({});
+  bool tight = sockets_.in_use + kClosedInTurn >= sockets_.max;
+  if (closed && (tight || ++closed_in_turn_ >= kClosedInTurn)) Pause({});
   return *sessions_.back();
 }
 
+// Those that wait for memory are refused, so that their connections can be closed. Nobody is left to wait in
+// the queue of the system for long: the latest is closed unread then.
+void Listener::NoRoom() {
+  TimePoint now = clock_.Now();
+  if (now - std::exchange(no_room_at_, now) > kCrowdOver) no_room_since_ = now;
+  RefuseWaiting(kRefusedAtOnce);
+  if (now - no_room_since_ <= kNewcomersWait) return Pause(tuning_.accept_pause);
+  closes_newcomer_ = true;
+}
+
+void Listener::TakeNewcomer(evutil_socket_t socket) {
+  if (ShutsNewcomers()) {
+    ++counters_.clients_closed_for_room;
+    evutil_closesocket(socket);
+    return;
+  }
+  closes_newcomer_ = false;
+  ClientSession& session = Accepted(socket);
+  if (!closes_newcomer_) return;
+  CloseForRoom(session, "new, and there is no descriptor for it");
+}
+
+// Whether there has been no room for long, and none a moment ago: those that wait are closed at once.
+bool Listener::ShutsNewcomers() const {
+  TimePoint now = clock_.Now();
+  bool crowded = sessions_.size() >= Part(sockets_.max, tuning_.share);
+  return crowded && now - no_room_at_ < tuning_.accept_pause && now - no_room_since_ > kNewcomersWait;
+}
+
 void Listener::Adopt(evutil_socket_t socket, std::string_view begun, Duration begun_ago, bool asked) {
   ClientSession& session = Accepted(socket);
   session.Adopt(begun, clock_.Now() - begun_ago, asked);
@@ -144,6 +190,10 @@
   };
   for (auto& session : sessions_) {
     if (&session == &sessions_.back() || session->spare() == ClientSession::Spare::kNeeded) continue;
+    // Those that wait for memory are refused before anybody who is served is closed.
+    bool served = session->spare() == ClientSession::Spare::kIdle ||
+                  session->spare() == ClientSession::Spare::kAskedOnce;
+    if (served && !waiting_.empty()) continue;
     bool better = best == nullptr || rank(*session) > rank(*best) ||
                   (rank(*session) == rank(*best) && session->quiet_since() < best->quiet_since());
     if (better && session->closes_cleanly()) best = session.get();
@@ -152,8 +202,7 @@
     log_.Line("clients crowded", std::to_string(sessions_.size()) + " sessions, all with requests out");
     return false;
   }
-  ++counters_.clients_closed_for_room;
-  End(*best);
+  CloseForRoom(*best, "of all clients it can best be spared");
   return true;
 }
 
@@ -176,11 +225,17 @@
   }
   // Of those that have begun their first command some take their time, and the others are strangers.
   if (held + std::min(begin, most / 2) <= most || best == nullptr) return false;
-  ++counters_.clients_closed_for_room;
-  End(*best);
+  CloseForRoom(*best, "clients between requests hold too many descriptors");
   return true;
 }
 
+void Listener::CloseForRoom(ClientSession& session, std::string_view reason) {
+  ++counters_.clients_closed_for_room;
+  log_.Line("client closed", fmt::format("after {} requests, {} sessions open: {}", session.requests(),
+                                         sessions_.size(), reason));
+  End(session);
+}
+
 // Ends what has had its time.
 void Listener::Sweep() {
   TimePoint now = clock_.Now();
@@ -189,9 +244,6 @@
   if (rest == Doors::Rest::kCloses && closing_since_ == TimePoint::max()) closing_since_ = now;
   for (auto at = sessions_.begin(); at != sessions_.end();) {
     ClientSession& session = **at++;
-    if (session.waits_for_room() && memory_.free() > 0) {
-      session.TryAgain();
-    }
     bool goes = rest == Doors::Rest::kGoesToSuccessor && session.at_rest();
     if (goes && hand_on_(session)) {
       End(session);
@@ -200,15 +252,53 @@
     } else if (sessions_.size() > Part(sockets_.max, tuning_.crowded_share) &&
                now - session.quiet_since() > tuning_.silent_in_crowd &&
                session.spare() == ClientSession::Spare::kSilent && session.closes_cleanly()) {
-      ++counters_.clients_closed_for_room;
-      End(session);
+      CloseForRoom(session, "it has asked nothing");
     } else if (rest == Doors::Rest::kCloses && !session.ends()) {
       EndIfOver(session, now);
     }
   }
+  while (!waiting_.empty() && TurnAwayStalled(now)) GrantRoom();
+  std::list<ClientSession*> waiting = waiting_;  // each has its wait bounded
+  for (ClientSession* session : waiting) {
+    if (session->waits_for_room()) session->TryAgain();
+  }
   sweep_.Set(kSweepEvery);
 }
 
+bool Listener::HasRoomForIncomplete(std::size_t bytes) const {
+  return unread_ == 0 || unread_ + bytes <= most_unread_;
+}
+
+void Listener::WaitForRoom(ClientSession& session) { waiting_.push_back(&session); }
+void Listener::StopWaiting(ClientSession& session) { waiting_.remove(&session); }
+
+// In the order of arrival; those that need little may pass a few that need more.
+void Listener::GrantRoom() {
+  int failed = 0;
+  for (auto at = waiting_.begin(); at != waiting_.end() && failed < kMostInVain;) {
+    ClientSession* session = *at++;
+    failed += session->TryAgain() ? 0 : 1;
+  }
+}
+
+// Of the commands that are not whole, the one begun first among those of which nothing has come for a while
+// makes room for those that wait.
+bool Listener::TurnAwayStalled(TimePoint now) {
+  ClientSession* first = nullptr;
+  for (auto& session : sessions_) {
+    if (!session->half_sent() || session->waits_for_room() || now - session->last_byte() < kStalled) continue;
+    if (!session->holds_incomplete() || session->has_unread()) continue;
+    if (first == nullptr || session->begun() < first->begun()) first = session.get();
+  }
+  if (first == nullptr) return false;
+  first->TurnAway("too much at once");
+  return true;
+}
+
+void Listener::RefuseWaiting(std::size_t most) {
+  for (; most > 0 && !waiting_.empty(); --most) waiting_.front()->RefuseWaiting();
+}
+
 // Bounds the memory that commands which are not whole take together: past that the one begun first is turned
 // away.
 void Listener::Unread(std::size_t before, std::size_t now) {
--- a/src/front/listener.h
+++ b/src/front/listener.h
@@ -22,14 +22,19 @@
   using HandOn = std::function<bool(ClientSession&)>;
   Listener(event_base* base, int socket, const Doors& doors, HandOn hand_on, BalancerDriver& decision,
            const Settings& settings, const Tuning::Clients& tuning, SocketBudget& sockets,
-           std::size_t most_unread, MemoryBudget& memory, const Clock& clock, Log& log, Counters& counters);
+           std::size_t most_unread, MemoryBudget& memory, MemoryBudget& command_memory, const Clock& clock,
+           Log& log, Counters& counters);
   ~Listener() override;
 
   void End(ClientSession& session) override;
   void Unread(std::size_t before, std::size_t now) override;
   void AtRest(ClientSession& session) override;
   const Doors& doors() const override { return doors_; }
+  bool HasRoomForIncomplete(std::size_t bytes) const override;
+  void WaitForRoom(ClientSession& session) override;
+  void StopWaiting(ClientSession& session) override;
   MemoryBudget& memory() override { return memory_; }
+  MemoryBudget& command_memory() override { return command_memory_; }
   Duration TimeToAnswer() const override;
   // Whether connections are taken; the socket stays open either way.
   void Accept(bool yes);
@@ -54,12 +59,19 @@
   std::size_t sessions() const { return sessions_.size(); }
 
  private:
+  void TakeNewcomer(evutil_socket_t socket);
   ClientSession& Accepted(evutil_socket_t socket);
   void EndIfOver(ClientSession& session, TimePoint now);
   void Pause(Duration pause);  // accepts no more until then; at least for the rest of this turn of the loop
   void EmptyAcceptQueue();
   bool MakeRoom();
   bool CloseHeld();
+  void CloseForRoom(ClientSession& session, std::string_view reason);
+  void NoRoom();
+  bool ShutsNewcomers() const;
+  void GrantRoom();
+  bool TurnAwayStalled(TimePoint now);
+  void RefuseWaiting(std::size_t most);
   void Sweep();
 
   event_base* base_;
@@ -74,12 +86,18 @@
   SocketBudget& sockets_;
   std::size_t unread_ = 0, most_unread_;  // bytes of commands that are not whole, of all sessions
   MemoryBudget& memory_;
+  MemoryBudget& command_memory_;
+  std::list<ClientSession*> waiting_;  // for memory, the first first
+  std::size_t closed_in_turn_ = 0;
+  bool closes_newcomer_ = false;  // there was no room for it for too long
+  // A new connection found no room: for the first time in this crowd, and last.
+  TimePoint no_room_since_{}, no_room_at_{};
   const Clock& clock_;
   Log& log_;
   Counters& counters_;
   std::list<std::unique_ptr<ClientSession>> sessions_;  // the last accepted last
   std::function<void()> then_;
-  Timer stopped_, accept_again_, sweep_;
+  Timer stopped_, accept_again_, sweep_, grant_;
   ListenerPtr listener_;
 };
 
--- a/src/module/attempts.cpp
+++ b/src/module/attempts.cpp
@@ -35,7 +35,7 @@
   bool named = event.tenant >= 0 && event.tenant < static_cast<int>(tenant_load_.size());
   request.tenant = named ? static_cast<std::size_t>(event.tenant) : tenant_load_.size();
   request.retry_after = event.retry_after;
-  if (event.quota_verdict == QuotaVerdict::kReject) return RejectOrFail(request);
+  if (event.quota_verdict == QuotaVerdict::kReject || event.no_memory) return RejectOrFail(request);
   request.priority = ComputePriority(event, request.tenant);
   if (event.quota_verdict == QuotaVerdict::kDeprioritize) request.priority *= kOverQuotaFactor;
   // By the time of a client's retry most of the aim has passed: its priority is what a late answer earns.
--- a/src/module/pipelining.cpp
+++ b/src/module/pipelining.cpp
@@ -1,5 +1,5 @@
-// Pipelined commands and large values: which commands are sent on, and when a value's bytes are written, so
-// that what was sent on can be answered whatever becomes of the value.
+// Pipelined commands, large values and memory for them: which commands are sent on, and when a value's bytes
+// are written, so that what was sent on can be answered whatever becomes of the value.
 #include "module/balancer_impl.h"
 
 namespace peatbend {
@@ -20,4 +20,12 @@
   return facts.value_unfinished ? CommandDecision::kLeaveUnread : CommandDecision::kForward;
 }
 
+// Share of its time for which a value waits for memory: its client still has time for a retry.
+constexpr double kMaxRoomWaitShare = 0.47;
+
+RoomDecision DecideRoom(const RoomFacts& facts) {
+  bool over = facts.ends || facts.waited >= Scale(facts.limit, kMaxRoomWaitShare);
+  return over ? RoomDecision::kRefuse : RoomDecision::kWait;
+}
+
 }  // namespace peatbend
--- a/src/protocol/request.h
+++ b/src/protocol/request.h
@@ -19,8 +19,10 @@
 
   std::string text;  // a copy of the command, since the request may be sent after the client's buffer is gone
   std::string_view command, key, id, facts, value;
-  BufferPtr body;            // a large value, instead of `value`; shared by all attempts
-  MemoryReservation memory;  // for `body`, or for `text`
+  BufferPtr body;                    // a large value, instead of `value`; shared by all attempts
+  MemoryReservation memory;          // for `body`, or for a long `text`
+  MemoryReservation command_memory;  // for the request itself
+  bool no_memory = false;            // there was none for it
   bool write = false, retry = false;
   int cls = 0, tenant = -1;  // indexes into Settings; tenant is -1 if unknown
   std::uint64_t client = 0;  // hash of the client's address, equal on all routers; 0 if not needed
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -48,7 +48,7 @@
     }
   }
   auto size = static_cast<std::size_t>(bulk_size_);
-  if (size > kMaxValue) return Status::kBody;
+  if (may_be_body && size > body_above_) return Status::kBody;
   if (position_ + size + 2 > kMaxMessage) return Fail("message too long");
   if (buffer.size() < position_ + size + 2) return Status::kIncomplete;
   if (buffer.substr(position_ + size, 2) != "\r\n") return Fail("bulk string not ended");
--- a/src/protocol/resp.h
+++ b/src/protocol/resp.h
@@ -32,19 +32,20 @@
 
 class Parser {
  public:
-  // kBody: a bulk string of more than kMaxValue bytes follows, of body_size() bytes. It starts after the
+  // kBody: a bulk string that is streamed follows, of body_size() bytes. It starts after the
   // first head_size() bytes of the buffer. The caller removes both from the buffer, calls BodyConsumed and
   // continues with the rest.
   enum class Status { kIncomplete, kDone, kMalformed, kBody };
   // `body_item`: index of the array item that may be streamed as a body; -1: none. All other bulk strings are
-  // limited to kMaxValue.
-  explicit Parser(int body_item = -1) : body_item_(body_item) {}
+  // limited to kMaxValue. `body_above`: bytes above which it is.
+  explicit Parser(int body_item = -1, std::size_t body_above = kMaxValue)
+      : body_item_(body_item), body_above_(body_above) {}
   // Parses further. `buffer` starts with the message and may have grown since the last call.
   Status Advance(std::string_view buffer);
   const Message& message() const { return message_; }
   // Describes the fault after kMalformed.
   std::string_view error() const { return error_; }
-  void Reset() { *this = Parser(body_item_); }
+  void Reset() { *this = Parser(body_item_, body_above_); }
   std::size_t body_size() const { return static_cast<std::size_t>(bulk_size_); }
   std::size_t head_size() const { return position_; }
   // Leaves an empty slice as the body's item. The size of the message then counts only the bytes after the
@@ -56,6 +57,7 @@
   Status ReadLine(std::string_view buffer, std::string_view& line);
   Status ReadBulk(std::string_view buffer);
   int body_item_;
+  std::size_t body_above_;
   bool after_body_ = false;  // the line end of the body's bulk string comes next
   Message message_;
   std::string_view error_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -32,6 +32,8 @@
 constexpr std::int64_t kWaitingDivisor = 2;
 // Of the memory: for large values, over all transactions.
 constexpr double kValuesShare = 0.3;
+// For requests themselves, and answers that wait.
+constexpr double kCommandsShare = 0.15;
 
 std::int64_t Others(const Config& config) {
   std::int64_t peers = config.peers.listen.empty() ? 0 : static_cast<std::int64_t>(peers::kMaxDescriptors);
@@ -93,7 +95,7 @@
           running_.tuning.clients, sockets_,
           static_cast<std::size_t>(static_cast<double>(config.memory_mb) * kMegabyte *
                                    config.tuning.memory.unread_share),
-          memory_, clock_, log_, counters_),
+          memory_, command_memory_, clock_, log_, counters_),
       door_(std::move(door)),
       late_clients_over_(base,
                          [this] {
@@ -201,6 +203,8 @@
   bool over = life_.rest() == Doors::Rest::kGoesToSuccessor;  // then it only falls
   if (over) most = std::min({most, static_cast<std::int64_t>(sockets_.max), SocketsWhileHandingOver()});
   sockets_.max = static_cast<std::size_t>(std::max<std::int64_t>(most, 0));
+  command_memory_.SetMax(
+      static_cast<std::size_t>(static_cast<double>(running_.memory_mb) * kMegabyte * kCommandsShare));
   auto values = static_cast<std::int64_t>(static_cast<double>(running_.memory_mb) * kMegabyte * kValuesShare);
   values -= predecessor_memory_;
   if (over) values = std::min(values, static_cast<std::int64_t>(memory_.in_use));
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -98,7 +98,7 @@
   std::int64_t predecessor_keeps_ = 0, predecessor_memory_ = 0;
   bool room_known_;  // the process before has told what it keeps while it hands over, or there is none
   SocketBudget sockets_;
-  MemoryBudget memory_;
+  MemoryBudget memory_, command_memory_;
   MemberConnections connections_;
   BalancerDriver decision_;
   DiscoveryWatch discovery_watch_;
--- a/src/stage/balancer_driver.cpp
+++ b/src/stage/balancer_driver.cpp
@@ -188,17 +188,19 @@
   event.cls = request.cls;
   event.write = request.write;
   event.retry = request.retry;
+  event.no_memory = request.no_memory;
+  if (request.no_memory) event.retry_after = kRoomRetryAfter;
   event.remaining = std::max(Duration::zero(), transaction->deadline() - clock_.Now());
   if (payload_check_ != nullptr) payload_check_->Check(request, event);
-  if (event.quota_verdict == QuotaVerdict::kReject) {
-    // Rejected for its payload: neither counts as load nor uses up quota.
+  if (event.no_memory || event.quota_verdict == QuotaVerdict::kReject) {
+    // Rejected for want of memory or for its payload: neither counts as load nor uses up quota.
   } else if (overload_control_ != nullptr) {
     transaction->work = overload_control_->Admit(request, quota_check_, event);
   } else if (quota_check_ != nullptr) {
     quota_check_->Check(request, event);
   }
   // Requests that are over quota or shed are rejected before anything of them is recorded.
-  bool recorded = event.quota_verdict != QuotaVerdict::kReject;
+  bool recorded = event.quota_verdict != QuotaVerdict::kReject && !event.no_memory;
   if (recorded && operation_tracker_ != nullptr && operation_tracker_->Tracks(request)) {
     transaction->tracked = true;
     operation_tracker_->StartTracking(admitted.id, request, event.remaining);
