Close a connection after a write where the server's receipts are alike

Callers would have been closed for want of descriptors: with servers whose receipts are all the same each write is sent on a new connection, and the used ones were kept idle for 8 s, which counts against clients. Found by reading the change, not seen in a run.

Cause: TakeIdle gives such a connection to no further write, and MemberConnection::Complete kept it all the same.

Change: a write's connection is kept only once the server's receipts have differed.

Measured: the new case and 27 related ones of net pass; that the case fails before follows from the code and was not run.

--- a/src/member/member_connection.cpp
+++ b/src/member/member_connection.cpp
@@ -193,6 +193,7 @@
   if (more) NoteUnsolicitedBytes();
   last |= !codec_->reusable() || !delivered() || more || answers_.full();
   last |= member_.single_use || (reply.large && member_.lengths_repeat);
+  last |= request_->write && !member_.receipts_differ;  // no write would use it again
   bool wants_spare = member_.single_use && !more;
   MemberConnections& home = home_;
   Member& member = member_;
--- a/tests/net/second_answer_test.cpp
+++ b/tests/net/second_answer_test.cpp
@@ -85,5 +85,16 @@
   CHECK(second.got == Bulk("other"));
 }
 
+// Guards against descriptors that fill with connections which no write may use again.
+TEST_CASE("said twice: a connection is not kept after a write where the server's receipts are alike") {
+  Stage stage({}, Stage::Says("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+  for (const char* key : {"1000", "2000", "3000", "4000"}) {
+    CHECK(stage.Ask(Set(key, "c=keyed,t=acme,d=1900,k=" + std::string(key), "v")) == "$2\r\nok\r\n");
+    stage.Rest();
+  }
+  stage.Until([&] { return std::ranges::all_of(stage.origin.ends, &End::closed); });
+  CHECK(stage.router.counters().answers_dropped == 0);
+}
+
 }  // namespace
 }  // namespace peatbend::net::test
