--- a/src/base/event_handles.h
+++ b/src/base/event_handles.h
@@ -87,21 +87,25 @@
   }
 }
 
+// Writes what the socket accepts of `data`, unless output is queued before it. Returns true if that is all.
+inline bool WriteAccepted(bufferevent* to, evbuffer* data) {
+  if (evbuffer_get_length(bufferevent_get_output(to)) == 0) evbuffer_write(data, bufferevent_getfd(to));
+  return evbuffer_get_length(data) == 0;
+}
+
 // Writes `data` to a connected socket at once if the bufferevent has no output queued, and queues what the
 // socket does not accept; small remainders are queued compactly. Saves the two changes of event registration
 // and the loop iteration that a write through the bufferevent costs. Returns true if everything was written;
 // no write callback follows then.
 inline bool WriteNow(bufferevent* to, evbuffer* data) {
-  if (evbuffer_get_length(bufferevent_get_output(to)) == 0) evbuffer_write(data, bufferevent_getfd(to));
-  if (evbuffer_get_length(data) == 0) return true;
+  if (WriteAccepted(to, data)) return true;
   Queue(to, data);
   return false;
 }
 
 // As WriteNow, and what is queued shares the memory of `data` instead of being copied.
 inline bool WriteShared(bufferevent* to, evbuffer* data) {
-  if (evbuffer_get_length(bufferevent_get_output(to)) == 0) evbuffer_write(data, bufferevent_getfd(to));
-  if (evbuffer_get_length(data) == 0) return true;
+  if (WriteAccepted(to, data)) return true;
   bufferevent_write_buffer(to, data);
   return false;
 }
--- a/src/member/member_connection.cpp
+++ b/src/member/member_connection.cpp
@@ -51,6 +51,7 @@
 void MemberConnection::Begin(Attempt& attempt, const Request& request, const AttemptLimits& limits) {
   attempt_ = &attempt;
   request_ = &request;
+  key_hash_ = XXH3_64bits(request.key.data(), request.key.size());
   deadline_ = home_.clock_.Now() + limits.timeout;
   begun_ = dispatched_ = passing_value_ = paused_ = false;
   begin_by_ = limits.begin_by;
@@ -140,16 +141,12 @@
   auto earlier = answers_.WithContent(reply.fingerprint, home_.clock_.Now());
   if (!earlier) return AnswerCheck::kTake;
   bool good = reply.result == Result::kGood;
-  bool same_key = earlier->key == KeyHash() && !request_->write;
+  bool same_key = earlier->key == key_hash_ && !request_->write;
   if (good && same_key && !member_.answers_differ) return AnswerCheck::kTake;
   const ClassSettings& cls = home_.settings_.classes[static_cast<std::size_t>(request_->cls)];
   return cls.effect == Effect::kSafe && !good ? AnswerCheck::kTakeAsLast : AnswerCheck::kDrop;
 }
 
-std::uint64_t MemberConnection::KeyHash() const {
-  return XXH3_64bits(request_->key.data(), request_->key.size());
-}
-
 // What is learned of the server from an answer that is the request's.
 void MemberConnection::Remember(const FlowReply& reply) {
   TimePoint now = home_.clock_.Now();
@@ -158,10 +155,10 @@
     member_.receipts_differ |= member_.last_receipt && *member_.last_receipt != reply.fingerprint;
     member_.last_receipt = reply.fingerprint;
   }
-  auto earlier = answers_.ForKey(KeyHash(), now);
+  auto earlier = answers_.ForKey(key_hash_, now);
   if (good && !request_->write && earlier)
     member_.answers_differ |= earlier->fingerprint != reply.fingerprint;
-  answers_.Add({reply.fingerprint, KeyHash(), now});
+  answers_.Add({reply.fingerprint, key_hash_, now});
 }
 
 // The answer may be another request's: it is not served, and the server's connections carry one request each
--- a/src/member/member_connections.h
+++ b/src/member/member_connections.h
@@ -89,7 +89,6 @@
   // kTakeAsLast: the connection carries nothing more. kDrop: it may be another request's.
   enum class AnswerCheck { kTake, kTakeAsLast, kDrop };
   AnswerCheck Check(const FlowReply& reply) const;
-  std::uint64_t KeyHash() const;
   void Remember(const FlowReply& reply);
   void DropCopy();
   bool RepeatsLargeValue();
@@ -107,6 +106,7 @@
   std::unique_ptr<ServerCodec> codec_;
   Attempt* attempt_ = nullptr;
   const Request* request_ = nullptr;                      // the attempt's
+  std::uint64_t key_hash_ = 0;                            // of its key
   TimePoint deadline_{};                                  // the attempt's, told to the server
   TimePoint up_by_{}, begin_by_{};                        // of a dial, and of the attempt that waits for it
   TimePoint begun_at_{}, deliver_by_ = TimePoint::max();  // of the attempt
